--- /dev/null
+++ b/src/catalogue/ServiceContent.ts
@@ -0,0 +1,7 @@
+import { z } from "zod";
+import { contentSchema } from "./contentSchema";
+
+type DeepReadonly<Value> = Value extends object ? { readonly [Key in keyof Value]: DeepReadonly<Value[Key]>; } : Value;
+
+/** The checked content of an entry, with defaults filled in. */
+export type ServiceContent = DeepReadonly<z.infer<typeof contentSchema>>;
--- /dev/null
+++ b/src/catalogue/catalogueLimits.ts
@@ -0,0 +1,10 @@
+/** Bounds on what an entry may ask for. */
+export const catalogueLimits = {
+    maximumSteps: 20,
+    maximumRoutes: 200,
+    maximumPools: 50,
+    maximumBakeMs: 86_400_000,
+    maximumTimeoutMs: 600_000,
+    maximumRetries: 5,
+    maximumEntryBytes: 262_144,
+} as const;
--- /dev/null
+++ b/src/catalogue/emptyCatalogue.ts
@@ -0,0 +1,9 @@
+import { CatalogueState } from "./CatalogueState";
+
+/** The catalogue before the first command. */
+export const emptyCatalogue: CatalogueState = {
+    revision: 0,
+    records: new Map(),
+    contents: new Map(),
+    answers: new Map(),
+};
--- /dev/null
+++ b/src/catalogue/snapshotFormat.ts
@@ -0,0 +1,34 @@
+import { CatalogueState } from "./CatalogueState";
+import { emptyCatalogue } from "./emptyCatalogue";
+import { EntryRecord } from "./EntryRecord";
+
+/** The catalogue as plain data. */
+type CatalogueSnapshot = {
+    readonly revision: number;
+    readonly records: readonly EntryRecord[];
+    readonly contents: readonly (readonly [string, unknown])[];
+    readonly answers: readonly (readonly [string, unknown])[];
+};
+
+const write = (state: CatalogueState): CatalogueSnapshot => ({
+    revision: state.revision,
+    records: [...state.records.values()],
+    contents: [...state.contents],
+    answers: [...state.answers],
+});
+
+const read = (data: unknown): CatalogueState => {
+    if (data === undefined) {
+        return emptyCatalogue;
+    }
+    const snapshot = data as CatalogueSnapshot;
+    return {
+        revision: snapshot.revision,
+        records: new Map(snapshot.records.map((record) => [record.service, record])),
+        contents: new Map(snapshot.contents) as CatalogueState["contents"],
+        answers: new Map(snapshot.answers) as CatalogueState["answers"],
+    };
+};
+
+/** Turns the catalogue into plain data for a snapshot file, and back. */
+export const snapshotFormat = { write, read } as const;
--- /dev/null
+++ b/src/consensus/ConsensusInput.ts
@@ -0,0 +1,14 @@
+import { ConsensusMessage } from "./ConsensusMessage";
+import { MembershipChange } from "./MembershipChange";
+
+/** Everything that can happen to a replica. Timers are events, so that the protocol itself reads no clock. */
+export type ConsensusInput =
+    | { readonly kind: "election-timeout"; }
+    | { readonly kind: "heartbeat-timeout"; }
+    | { readonly kind: "quorum-check-timeout"; }
+    | { readonly kind: "receive"; readonly from: string; readonly message: ConsensusMessage; }
+    | { readonly kind: "propose"; readonly requestId: string; readonly command: unknown; }
+    | { readonly kind: "change-membership"; readonly requestId: string; readonly change: MembershipChange; }
+    | { readonly kind: "read"; readonly requestId: string; }
+    | { readonly kind: "persisted"; readonly index: number; }
+    | { readonly kind: "compact"; readonly index: number; };
--- /dev/null
+++ b/src/consensus/ConsensusStatus.ts
@@ -0,0 +1,13 @@
+import { Membership } from "./Membership";
+import { Role } from "./Role";
+
+/** What a replica tells others of itself. */
+export type ConsensusStatus = {
+    readonly id: string;
+    readonly role: Role;
+    readonly term: number;
+    readonly leaderId: string | undefined;
+    readonly commitIndex: number;
+    readonly appliedIndex: number;
+    readonly membership: Membership;
+};
--- /dev/null
+++ b/src/consensus/ConsensusTask.ts
@@ -0,0 +1,284 @@
+import { Disposable } from "../core/Disposable";
+import { DisposableStore } from "../core/DisposableStore";
+import { Mailbox } from "../core/Mailbox";
+import { RandomSource } from "../core/RandomSource";
+import { ConsensusAction } from "./ConsensusAction";
+import { ConsensusInput } from "./ConsensusInput";
+import { ConsensusMessage } from "./ConsensusMessage";
+import { ConsensusState } from "./ConsensusState";
+import { ConsensusStatus } from "./ConsensusStatus";
+import { ConsensusTimings } from "./ConsensusTimings";
+import { initialState } from "./initialState";
+import { logQueries } from "./logQueries";
+import { Membership } from "./Membership";
+import { MembershipChange } from "./MembershipChange";
+import { ProposalOutcome } from "./ProposalOutcome";
+import { ReplicaStore } from "./ReplicaStore";
+import { ReplicaTransport } from "./ReplicaTransport";
+import { Role } from "./Role";
+import { StateMachine } from "./StateMachine";
+import { step } from "./step";
+
+const PROPOSAL_TIMEOUT_MS = 5_000;
+
+/** What a consensus task is built from. */
+type ConsensusOptions = {
+    readonly id: string;
+    readonly firstMembership: Membership;
+    readonly store: ReplicaStore;
+    readonly transport: ReplicaTransport;
+    readonly stateMachine: StateMachine;
+    readonly timings: ConsensusTimings;
+    readonly random: RandomSource;
+    /** A snapshot is taken once this many entries were applied since the last one. */
+    readonly snapshotEveryEntries: number;
+    readonly onChange: (status: ConsensusStatus) => void;
+    /** The disk can't be trusted any more: the process must stop serving. */
+    readonly onFailure: (error: Error) => void;
+};
+
+/** A request of this process that waits for its entry to be applied. */
+type Waiting = {
+    readonly settle: (outcome: ProposalOutcome) => void;
+    readonly timer: NodeJS.Timeout;
+    readonly index?: number;
+    readonly term?: number;
+};
+
+/** Runs the consensus protocol: owns its state, its timers and its store, and drives a state machine. */
+export class ConsensusTask implements Disposable {
+    private readonly resources = new DisposableStore();
+    private readonly mailbox: Mailbox<ConsensusInput>;
+    private readonly waiting = new Map<string, Waiting>();
+    private state: ConsensusState | undefined;
+    private appliedIndex = 0;
+    private electionTimer: NodeJS.Timeout | undefined;
+    private nextRequest = 0;
+    private failed = false;
+    private lastStatus = "";
+
+    public constructor(private readonly options: ConsensusOptions) {
+        this.mailbox = new Mailbox((input) => this.handle(input), (error) => this.fail(error));
+        this.resources.add(this.mailbox);
+    }
+
+    /** Recovers the stored state and starts the timers. */
+    public async start(): Promise<void> {
+        const { firstMembership, id, stateMachine, store, timings } = this.options;
+        const stored = await store.recover(firstMembership);
+        stateMachine.restoreSnapshot(stored.snapshotData);
+        this.state = initialState({ id, ...stored });
+        this.appliedIndex = this.state.commitIndex;
+        this.options.transport.follow(logQueries.membershipOf(this.state.log));
+        this.resetElectionTimer();
+        this.resources.every(timings.heartbeatIntervalMs, () => this.mailbox.post({ kind: "heartbeat-timeout" }));
+        this.resources.every(timings.quorumCheckMs, () => this.mailbox.post({ kind: "quorum-check-timeout" }));
+        this.resources.add({ dispose: () => clearTimeout(this.electionTimer) });
+    }
+
+    public status(): ConsensusStatus {
+        const state = this.state;
+        return {
+            id: this.options.id,
+            role: state?.role ?? Role.Follower,
+            term: state?.term ?? 0,
+            leaderId: state?.leaderId,
+            commitIndex: state?.commitIndex ?? 0,
+            appliedIndex: this.appliedIndex,
+            membership: state ? logQueries.membershipOf(state.log) : this.options.firstMembership,
+        };
+    }
+
+    public receive(from: string, message: ConsensusMessage): void {
+        this.mailbox.post({ kind: "receive", from, message });
+    }
+
+    /** Proposes a command and waits until it is applied here. */
+    public propose(command: unknown): Promise<ProposalOutcome> {
+        return this.request((requestId) => ({ kind: "propose", requestId, command }));
+    }
+
+    public changeMembership(change: MembershipChange): Promise<ProposalOutcome> {
+        return this.request((requestId) => ({ kind: "change-membership", requestId, change }));
+    }
+
+    /** Waits until a quorum confirms leadership and everything committed so far is applied. */
+    public readBarrier(): Promise<ProposalOutcome> {
+        return this.request((requestId) => ({ kind: "read", requestId }));
+    }
+
+    public async dispose(): Promise<void> {
+        for (const requestId of [...this.waiting.keys()]) {
+            this.settle(requestId, { kind: "unknown", reason: "this replica is stopping" });
+        }
+        await this.resources.dispose();
+        await this.options.store.dispose();
+    }
+
+    private request(toInput: (requestId: string) => ConsensusInput): Promise<ProposalOutcome> {
+        this.nextRequest += 1;
+        const requestId = `${this.options.id}-${this.nextRequest}`;
+        return new Promise((settle) => {
+            const onTimeout = (): void =>
+                this.settle(requestId, { kind: "unknown", reason: `no quorum answered in ${PROPOSAL_TIMEOUT_MS} ms` });
+            const timer = setTimeout(onTimeout, PROPOSAL_TIMEOUT_MS);
+            this.waiting.set(requestId, { settle, timer });
+            this.mailbox.post(toInput(requestId));
+        });
+    }
+
+    private settle(requestId: string, outcome: ProposalOutcome): void {
+        const waiting = this.waiting.get(requestId);
+        if (!waiting) {
+            return;
+        }
+        clearTimeout(waiting.timer);
+        this.waiting.delete(requestId);
+        waiting.settle(outcome);
+    }
+
+    private async handle(input: ConsensusInput): Promise<void> {
+        if (!this.state || this.failed) {
+            return;
+        }
+        // The state machine may have moved on since the compaction was asked for; its state must match the index.
+        const current = input.kind === "compact" ? { ...input, index: this.appliedIndex } : input;
+        const { actions, state } = step(this.state, current);
+        this.state = state;
+        for (const action of actions) {
+            await this.perform(action, state);
+        }
+        this.publish();
+    }
+
+    private async perform(action: ConsensusAction, state: ConsensusState): Promise<void> {
+        const { store, transport } = this.options;
+        switch (action.kind) {
+            case "persist-vote":
+                await store.saveVote(action.term, action.votedFor);
+                return;
+            case "persist-entries":
+                await store.saveEntries(action.fromIndex, action.entries);
+                this.afterPersist(action.entries.at(-1)?.index ?? 0, state);
+                return;
+            case "install-snapshot":
+                await this.installSnapshot(action.message);
+                return;
+            case "compact":
+                await this.saveSnapshot(action.index, state);
+                return;
+            case "send":
+                transport.send(action.to, this.withSnapshotData(action.message));
+                return;
+            case "reset-election-timer":
+                this.resetElectionTimer();
+                return;
+            case "committed":
+                this.applyUpTo(action.index, state);
+                return;
+            case "appended":
+                this.noteAppended(action);
+                return;
+            case "refused":
+                this.settle(action.requestId, { kind: "refused", leaderId: action.leaderId, reason: action.reason });
+                return;
+            case "read-ready":
+                this.settle(action.requestId, { kind: "applied", answer: action.index });
+                return;
+        }
+    }
+
+    private afterPersist(index: number, state: ConsensusState): void {
+        this.options.transport.follow(logQueries.membershipOf(state.log));
+        this.mailbox.post({ kind: "persisted", index });
+    }
+
+    /** The snapshot that is sent holds the state as applied now, which covers at least the log's snapshot index. */
+    private withSnapshotData(message: ConsensusMessage): ConsensusMessage {
+        if (message.kind !== "snapshot-request" || !this.state) {
+            return message;
+        }
+        const index = this.appliedIndex;
+        const { log } = this.state;
+        return {
+            ...message,
+            index,
+            snapshotTerm: logQueries.termAt(log, index) ?? message.snapshotTerm,
+            membership: logQueries.membershipAt(log, index),
+            data: this.options.stateMachine.takeSnapshot(),
+        };
+    }
+
+    private async installSnapshot(message: ConsensusMessage & { readonly kind: "snapshot-request"; }): Promise<void> {
+        const { data, index, membership, snapshotTerm: term } = message;
+        await this.options.store.saveSnapshot({ index, term, membership, data }, []);
+        this.options.stateMachine.restoreSnapshot(data);
+        this.appliedIndex = index;
+        this.options.transport.follow(membership);
+    }
+
+    private async saveSnapshot(index: number, state: ConsensusState): Promise<void> {
+        const { entries, snapshotMembership: membership, snapshotTerm: term } = state.log;
+        const data = this.options.stateMachine.takeSnapshot();
+        await this.options.store.saveSnapshot({ index, term, membership, data }, entries);
+    }
+
+    private applyUpTo(index: number, state: ConsensusState): void {
+        while (this.appliedIndex < index) {
+            this.appliedIndex += 1;
+            const entry = logQueries.entryAt(state.log, this.appliedIndex);
+            const payload = entry?.payload;
+            const answer = payload?.kind === "command" ? this.options.stateMachine.apply(payload.command) : undefined;
+            this.settleAt(this.appliedIndex, entry?.term ?? 0, answer);
+        }
+        if (this.appliedIndex - state.log.snapshotIndex >= this.options.snapshotEveryEntries) {
+            this.mailbox.post({ kind: "compact", index: this.appliedIndex });
+        }
+    }
+
+    private noteAppended({ index, requestId, term }: ConsensusAction & { readonly kind: "appended"; }): void {
+        const waiting = this.waiting.get(requestId);
+        if (waiting) {
+            this.waiting.set(requestId, { ...waiting, index, term });
+        }
+    }
+
+    private settleAt(index: number, term: number, answer: unknown): void {
+        for (const [requestId, waiting] of this.waiting) {
+            if (waiting.index !== index) {
+                continue;
+            }
+            const mine = waiting.term === term;
+            this.settle(
+                requestId,
+                mine
+                    ? { kind: "applied", answer }
+                    : { kind: "refused", leaderId: this.state?.leaderId, reason: "another leader replaced the entry" },
+            );
+        }
+    }
+
+    private resetElectionTimer(): void {
+        const { random, timings } = this.options;
+        clearTimeout(this.electionTimer);
+        const delayMs = timings.electionTimeoutMs * (1 + random.fraction());
+        this.electionTimer = setTimeout(() => {
+            this.mailbox.post({ kind: "election-timeout" });
+        }, delayMs);
+    }
+
+    /** Tells the owner when the role, the term or the applied position changed. */
+    private publish(): void {
+        const status = this.status();
+        const key = `${status.role}/${status.term}/${status.leaderId}/${status.appliedIndex}`;
+        if (key !== this.lastStatus) {
+            this.lastStatus = key;
+            this.options.onChange(status);
+        }
+    }
+
+    private fail(error: Error): void {
+        this.failed = true;
+        this.options.onFailure(error);
+    }
+}
--- /dev/null
+++ b/src/consensus/ConsensusTimings.ts
@@ -0,0 +1,8 @@
+/** The timers of the consensus protocol, in milliseconds. */
+export type ConsensusTimings = {
+    /** A follower waits between this and twice this for its leader before it asks for votes. */
+    readonly electionTimeoutMs: number;
+    readonly heartbeatIntervalMs: number;
+    /** The leader's lease: it steps down if no quorum answers within this time. */
+    readonly quorumCheckMs: number;
+};
--- /dev/null
+++ b/src/consensus/FileReplicaStore.ts
@@ -0,0 +1,213 @@
+import { FileHandle, mkdir, open, readFile, rename } from "node:fs/promises";
+import { join } from "node:path";
+import { die } from "../core/die";
+import { ErrorKind } from "../core/ErrorKind";
+import { FilbertdealError } from "../core/FilbertdealError";
+import { LogEntry } from "./LogEntry";
+import { logQueries } from "./logQueries";
+import { Membership } from "./Membership";
+import { recordFormat } from "./recordFormat";
+import { ReplicaStore } from "./ReplicaStore";
+import { ReplicatedLog } from "./ReplicatedLog";
+import { StoredReplica } from "./StoredReplica";
+import { StoreRecord } from "./StoreRecord";
+
+const LOG_FILE = "log.bin";
+const SNAPSHOT_FILE = "snapshot.bin";
+
+type SnapshotRecord = StoreRecord & { readonly kind: "snapshot"; };
+
+/** The log file's content before the snapshot is taken into account. */
+type RecoveredLog = {
+    readonly term: number;
+    readonly votedFor: string | undefined;
+    readonly entries: readonly LogEntry[];
+    readonly validBytes: number;
+};
+
+const isMissing = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === "ENOENT";
+
+/**
+ * Keeps a replica's state in two files of one folder: an append-only log of checksummed records and
+ * the newest snapshot. Files are replaced by writing a new one, syncing it and renaming it.
+ */
+export class FileReplicaStore extends ReplicaStore {
+    private logFile: FileHandle | undefined;
+    private vote: StoreRecord & { readonly kind: "vote"; } = { kind: "vote", term: 0 };
+
+    public constructor(private readonly folder: string) {
+        super();
+    }
+
+    /** @throws FilbertdealError of kind LogCorrupt or DiskFailed */
+    public override recover(firstMembership: Membership): Promise<StoredReplica> {
+        return this.guard(async () => {
+            await mkdir(this.folder, { recursive: true });
+            const snapshot = await this.readSnapshot();
+            const recovered = await this.readLog();
+            await this.openLog(recovered.validBytes);
+            this.vote = { kind: "vote", term: recovered.term, votedFor: recovered.votedFor };
+            const log = this.joinLog(recovered.entries, snapshot, firstMembership);
+            return {
+                term: recovered.term,
+                votedFor: recovered.votedFor,
+                log,
+                snapshotData: snapshot?.data,
+            };
+        });
+    }
+
+    public override saveVote(term: number, votedFor: string | undefined): Promise<void> {
+        this.vote = { kind: "vote", term, votedFor };
+        return this.appendRecord(this.vote);
+    }
+
+    public override saveEntries(fromIndex: number, entries: readonly LogEntry[]): Promise<void> {
+        return this.appendRecord({ kind: "entries", fromIndex, entries });
+    }
+
+    public override saveSnapshot(
+        { data, index, membership, term }: Parameters<ReplicaStore["saveSnapshot"]>[0],
+        keep: readonly LogEntry[],
+    ): Promise<void> {
+        const snapshot: SnapshotRecord = { kind: "snapshot", index, term, membership, data };
+        return this.guard(async () => {
+            await this.replaceFile(SNAPSHOT_FILE, [snapshot]);
+            await this.logFile?.close();
+            this.logFile = undefined;
+            await this.replaceFile(LOG_FILE, [this.vote, { kind: "entries", fromIndex: index + 1, entries: keep }]);
+            this.logFile = await open(this.path(LOG_FILE), "a");
+        });
+    }
+
+    public override async dispose(): Promise<void> {
+        await this.logFile?.close();
+        this.logFile = undefined;
+    }
+
+    private path(name: string): string {
+        return join(this.folder, name);
+    }
+
+    private appendRecord(record: StoreRecord): Promise<void> {
+        return this.guard(async () => {
+            const file = this.logFile ?? die(ErrorKind.DiskFailed, this.folder, "the log is not open");
+            await file.appendFile(recordFormat.encode(record));
+            await file.datasync();
+        });
+    }
+
+    private async readSnapshot(): Promise<SnapshotRecord | undefined> {
+        const bytes = await this.readIfPresent(SNAPSHOT_FILE);
+        if (!bytes) {
+            return undefined;
+        }
+        const outcome = recordFormat.read(bytes, 0);
+        if (outcome.kind !== "record" || outcome.record.kind !== "snapshot") {
+            return die(ErrorKind.LogCorrupt, this.path(SNAPSHOT_FILE), 0);
+        }
+        return outcome.record;
+    }
+
+    private async readLog(): Promise<RecoveredLog> {
+        const bytes = (await this.readIfPresent(LOG_FILE)) ?? Buffer.alloc(0);
+        let recovered: RecoveredLog = { term: 0, votedFor: undefined, entries: [], validBytes: 0 };
+        for (;;) {
+            const outcome = recordFormat.read(bytes, recovered.validBytes);
+            if (outcome.kind === "corrupt") {
+                die(ErrorKind.LogCorrupt, this.path(LOG_FILE), recovered.validBytes);
+            }
+            if (outcome.kind !== "record") {
+                return recovered;
+            }
+            recovered = this.replay(recovered, outcome.record, outcome.nextOffset);
+        }
+    }
+
+    private replay(recovered: RecoveredLog, record: StoreRecord, validBytes: number): RecoveredLog {
+        if (record.kind === "vote") {
+            return { ...recovered, term: record.term, votedFor: record.votedFor, validBytes };
+        }
+        if (record.kind === "entries") {
+            const kept = recovered.entries.filter(({ index }) => index < record.fromIndex);
+            return { ...recovered, entries: [...kept, ...record.entries], validBytes };
+        }
+        return die(ErrorKind.LogCorrupt, this.path(LOG_FILE), recovered.validBytes);
+    }
+
+    /** Entries after the snapshot count only if the log agrees with the snapshot at its index. */
+    private joinLog(
+        entries: readonly LogEntry[],
+        snapshot: SnapshotRecord | undefined,
+        firstMembership: Membership,
+    ): ReplicatedLog {
+        const index = snapshot?.index ?? 0;
+        const term = snapshot?.term ?? 0;
+        const atSnapshot = entries.find((entry) => entry.index === index);
+        const startsAfter = entries.length > 0 && entries[0].index === index + 1;
+        const agrees = startsAfter || atSnapshot?.term === term;
+        const log: ReplicatedLog = {
+            snapshotIndex: index,
+            snapshotTerm: term,
+            snapshotMembership: snapshot?.membership ?? firstMembership,
+            entries: [],
+        };
+        return agrees ? logQueries.append(log, entries.filter((entry) => entry.index > index)) : log;
+    }
+
+    private async openLog(validBytes: number): Promise<void> {
+        this.logFile = await open(this.path(LOG_FILE), "a");
+        // Drops a torn tail, so that new records do not follow damaged bytes.
+        await this.logFile.truncate(validBytes);
+        await this.logFile.sync();
+        await this.syncFolder();
+    }
+
+    private async replaceFile(name: string, records: readonly StoreRecord[]): Promise<void> {
+        const temporary = this.path(`${name}.tmp`);
+        const file = await open(temporary, "w");
+        try {
+            await file.writeFile(Buffer.concat(records.map(recordFormat.encode)));
+            await file.sync();
+        }
+        finally {
+            await file.close();
+        }
+        await rename(temporary, this.path(name));
+        await this.syncFolder();
+    }
+
+    private async syncFolder(): Promise<void> {
+        const folder = await open(this.folder, "r");
+        try {
+            await folder.sync();
+        }
+        finally {
+            await folder.close();
+        }
+    }
+
+    private async readIfPresent(name: string): Promise<Buffer | undefined> {
+        try {
+            return await readFile(this.path(name));
+        }
+        catch (error) {
+            if (isMissing(error)) {
+                return undefined;
+            }
+            throw error;
+        }
+    }
+
+    private async guard<Result>(work: () => Promise<Result>): Promise<Result> {
+        try {
+            return await work();
+        }
+        catch (error) {
+            if (error instanceof FilbertdealError) {
+                throw error;
+            }
+            return die(ErrorKind.DiskFailed, this.folder, (error as Error).message);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/LogEntry.ts
@@ -0,0 +1,13 @@
+import { Membership } from "./Membership";
+
+/** One entry of the replicated log. */
+export type LogEntry = {
+    readonly index: number;
+    readonly term: number;
+    readonly payload: LogPayload;
+};
+
+type LogPayload =
+    | { readonly kind: "empty"; }
+    | { readonly kind: "command"; readonly command: unknown; }
+    | { readonly kind: "membership"; readonly membership: Membership; };
--- /dev/null
+++ b/src/consensus/MemoryReplicaStore.ts
@@ -0,0 +1,47 @@
+import { LogEntry } from "./LogEntry";
+import { logQueries } from "./logQueries";
+import { Membership } from "./Membership";
+import { ReplicaStore } from "./ReplicaStore";
+import { StoredReplica } from "./StoredReplica";
+
+/** Keeps a replica's state in memory, for tests and for learners without a disk. */
+export class MemoryReplicaStore extends ReplicaStore {
+    private stored: StoredReplica | undefined;
+
+    public override recover(firstMembership: Membership): Promise<StoredReplica> {
+        const log = { snapshotIndex: 0, snapshotTerm: 0, snapshotMembership: firstMembership, entries: [] };
+        this.stored ??= { term: 0, votedFor: undefined, log, snapshotData: undefined };
+        return Promise.resolve(this.stored);
+    }
+
+    public override saveVote(term: number, votedFor: string | undefined): Promise<void> {
+        this.stored = { ...this.present(), term, votedFor };
+        return Promise.resolve();
+    }
+
+    public override saveEntries(fromIndex: number, entries: readonly LogEntry[]): Promise<void> {
+        const { log } = this.present();
+        this.stored = { ...this.present(), log: logQueries.append(logQueries.truncateFrom(log, fromIndex), entries) };
+        return Promise.resolve();
+    }
+
+    public override saveSnapshot(
+        { data, index, membership, term }: Parameters<ReplicaStore["saveSnapshot"]>[0],
+        keep: readonly LogEntry[],
+    ): Promise<void> {
+        const log = { snapshotIndex: index, snapshotTerm: term, snapshotMembership: membership, entries: keep };
+        this.stored = { ...this.present(), log, snapshotData: data };
+        return Promise.resolve();
+    }
+
+    public override dispose(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    private present(): StoredReplica {
+        if (!this.stored) {
+            throw new Error("recover must be called first");
+        }
+        return this.stored;
+    }
+}
--- /dev/null
+++ b/src/consensus/StoredReplica.ts
@@ -0,0 +1,10 @@
+import { ReplicatedLog } from "./ReplicatedLog";
+
+/** What a store holds for a replica. */
+export type StoredReplica = {
+    readonly term: number;
+    readonly votedFor: string | undefined;
+    readonly log: ReplicatedLog;
+    /** The state machine's state at `log.snapshotIndex`, undefined before the first snapshot. */
+    readonly snapshotData: unknown;
+};
--- /dev/null
+++ b/src/consensus/leading.ts
@@ -0,0 +1,191 @@
+import { ConsensusMessage } from "./ConsensusMessage";
+import { logQueries } from "./logQueries";
+import { Membership } from "./Membership";
+import { MembershipChange } from "./MembershipChange";
+import { replication } from "./replication";
+import { Role } from "./Role";
+import { roleChanges } from "./roleChanges";
+import { StepContext } from "./StepContext";
+
+type AppendResponse = ConsensusMessage & { readonly kind: "append-response"; };
+
+const refuse = (context: StepContext, requestId: string, reason: string): void => {
+    context.act({ kind: "refused", requestId, leaderId: context.state.leaderId, reason });
+};
+
+const hasCommittedInTerm = (context: StepContext): boolean => {
+    const { commitIndex, log, term } = context.state;
+    return logQueries.termAt(log, commitIndex) === term;
+};
+
+const releaseReads = (context: StepContext): void => {
+    const { id, peers, pendingReads } = context.state;
+    const isConfirmed = (round: number): boolean => {
+        const answered = [...peers].filter(([, { answeredRound }]) => answeredRound >= round).map(([peerId]) => peerId);
+        return context.hasQuorum(context.membership, new Set([id, ...answered]));
+    };
+    const waiting = pendingReads.filter(({ round }) => !isConfirmed(round));
+    const ready = pendingReads.filter(({ round }) => isConfirmed(round));
+    context.update({ pendingReads: waiting });
+    ready.forEach(({ index, requestId }) => context.act({ kind: "read-ready", requestId, index }));
+};
+
+/** Gives up leadership once the entry that removes this replica is committed. */
+const leaveIfRemoved = (context: StepContext): void => {
+    const { commitIndex, log, role, term } = context.state;
+    if (role !== Role.Leader || context.isVoter) {
+        return;
+    }
+    if (logQueries.lastMembershipIndex(log) <= commitIndex) {
+        roleChanges.becomeFollower(context, term, undefined);
+    }
+};
+
+const onAppendResponse = (context: StepContext, from: string, response: AppendResponse): void => {
+    const { peers, role, term } = context.state;
+    const progress = peers.get(from);
+    if (role !== Role.Leader || response.term !== term || !progress) {
+        return;
+    }
+    const answeredRound = Math.max(progress.answeredRound, response.round);
+    context.update({ contacts: [...new Set([...context.state.contacts, from])] });
+    if (!response.success) {
+        const hinted = Math.min(response.matchIndex + 1, progress.nextIndex);
+        const nextIndex = Math.max(progress.matchIndex + 1, hinted);
+        replication.setProgress(context, from, { answeredRound, nextIndex });
+        releaseReads(context);
+        if (!progress.snapshotPending) {
+            replication.sendEntries(context, from);
+        }
+        return;
+    }
+    const matchIndex = Math.max(progress.matchIndex, response.matchIndex);
+    const snapshotPending = progress.snapshotPending && matchIndex < context.state.log.snapshotIndex;
+    const nextIndex = Math.max(progress.nextIndex, matchIndex + 1);
+    replication.setProgress(context, from, { answeredRound, matchIndex, nextIndex, snapshotPending });
+    replication.advanceCommit(context);
+    releaseReads(context);
+    if (nextIndex <= logQueries.lastIndex(context.state.log)) {
+        replication.sendEntries(context, from);
+    }
+    leaveIfRemoved(context);
+};
+
+const onPropose = (context: StepContext, requestId: string, command: unknown): void => {
+    const { log, role, term } = context.state;
+    if (role !== Role.Leader) {
+        refuse(context, requestId, "not the leader");
+        return;
+    }
+    const index = logQueries.lastIndex(log) + 1;
+    context.act({ kind: "appended", requestId, index, term });
+    replication.appendAsLeader(context, { index, term, payload: { kind: "command", command } });
+};
+
+const changed = (membership: Membership, change: MembershipChange): Membership => {
+    const { learners, voters } = membership;
+    const without = (replicas: Membership["voters"]) => replicas.filter(({ id }) => id !== change.id);
+    if (change.kind === "add-learner") {
+        return { voters, learners: [...without(learners), { id: change.id, address: change.address }] };
+    }
+    if (change.kind === "promote") {
+        const promoted = learners.filter(({ id }) => id === change.id);
+        return { voters: [...voters, ...promoted], learners: without(learners) };
+    }
+    return { voters: without(voters), learners: without(learners) };
+};
+
+const refusalOf = (context: StepContext, change: MembershipChange): string | undefined => {
+    const { commitIndex, log, peers } = context.state;
+    const { learners, voters } = context.membership;
+    if (logQueries.lastMembershipIndex(log) > commitIndex || !hasCommittedInTerm(context)) {
+        return "another change is still being committed; retry shortly";
+    }
+    const isVoter = voters.some(({ id }) => id === change.id);
+    const isLearner = learners.some(({ id }) => id === change.id);
+    if (change.kind === "add-learner") {
+        return isVoter ? `${change.id} is a voter already` : undefined;
+    }
+    if (change.kind === "promote") {
+        const caughtUp = (peers.get(change.id)?.matchIndex ?? 0) >= commitIndex;
+        return isLearner && caughtUp ? undefined : `${change.id} is not a learner that has caught up; retry shortly`;
+    }
+    if (isVoter && voters.length === 1) {
+        return "the last voter can't be removed";
+    }
+    return isVoter || isLearner ? undefined : `${change.id} is not a member`;
+};
+
+const onChangeMembership = (context: StepContext, requestId: string, change: MembershipChange): void => {
+    const { log, role, term } = context.state;
+    if (role !== Role.Leader) {
+        refuse(context, requestId, "not the leader");
+        return;
+    }
+    const reason = refusalOf(context, change);
+    if (reason) {
+        refuse(context, requestId, reason);
+        return;
+    }
+    const index = logQueries.lastIndex(log) + 1;
+    const membership = changed(context.membership, change);
+    context.act({ kind: "appended", requestId, index, term });
+    replication.appendAsLeader(context, { index, term, payload: { kind: "membership", membership } });
+};
+
+const onRead = (context: StepContext, requestId: string): void => {
+    if (context.state.role !== Role.Leader || !hasCommittedInTerm(context)) {
+        refuse(context, requestId, "not the leader");
+        return;
+    }
+    const round = context.state.round + 1;
+    const read = { requestId, round, index: context.state.commitIndex };
+    context.update({ round, pendingReads: [...context.state.pendingReads, read] });
+    replication.sendToAll(context);
+    releaseReads(context);
+};
+
+const onHeartbeat = (context: StepContext): void => {
+    if (context.state.role !== Role.Leader) {
+        return;
+    }
+    context.update({ round: context.state.round + 1 });
+    replication.sendToAll(context);
+};
+
+/** Steps down if no quorum answered since the last check: the lease has run out. */
+const onQuorumCheck = (context: StepContext): void => {
+    const { contacts, id, peers, role, term } = context.state;
+    if (role !== Role.Leader) {
+        return;
+    }
+    if (!context.hasQuorum(context.membership, new Set([id, ...contacts]))) {
+        roleChanges.becomeFollower(context, term, undefined);
+        return;
+    }
+    const retried = [...peers].map(([peerId, progress]) => [peerId, { ...progress, snapshotPending: false }] as const);
+    context.update({ contacts: [], peers: new Map(retried) });
+};
+
+const onPersisted = (context: StepContext, index: number): void => {
+    const { durableIndex, log, role } = context.state;
+    const synced = Math.min(index, logQueries.lastIndex(log));
+    context.update({ durableIndex: Math.max(durableIndex, synced) });
+    if (role !== Role.Leader) {
+        return;
+    }
+    replication.advanceCommit(context);
+    releaseReads(context);
+    leaveIfRemoved(context);
+};
+
+/** What a leader does with answers, timers and the requests of its own process. */
+export const leading = {
+    onAppendResponse,
+    onPropose,
+    onChangeMembership,
+    onRead,
+    onHeartbeat,
+    onQuorumCheck,
+    onPersisted,
+} as const;
--- /dev/null
+++ b/src/consensus/replication.ts
@@ -0,0 +1,106 @@
+import { ConsensusMessage } from "./ConsensusMessage";
+import { LogEntry } from "./LogEntry";
+import { logQueries } from "./logQueries";
+import { PeerProgress } from "./PeerProgress";
+import { StepContext } from "./StepContext";
+
+const MAXIMUM_BATCH_ENTRIES = 256;
+
+const setProgress = (context: StepContext, id: string, change: Partial<PeerProgress>): void => {
+    const present = context.state.peers.get(id);
+    if (!present) {
+        return;
+    }
+    const peers = new Map(context.state.peers).set(id, { ...present, ...change });
+    context.update({ peers });
+};
+
+const sendSnapshot = (context: StepContext, to: string): void => {
+    const { log, round, term } = context.state;
+    const message: ConsensusMessage = {
+        kind: "snapshot-request",
+        term,
+        index: log.snapshotIndex,
+        snapshotTerm: log.snapshotTerm,
+        membership: log.snapshotMembership,
+        round,
+    };
+    context.act({ kind: "send", to, message });
+    setProgress(context, to, { nextIndex: log.snapshotIndex + 1, snapshotPending: true });
+};
+
+/** Sends the entries that a peer lacks, or an empty request as a heartbeat. */
+const sendEntries = (context: StepContext, to: string): void => {
+    const { commitIndex, log, peers, round, term } = context.state;
+    const progress = peers.get(to);
+    if (!progress) {
+        return;
+    }
+    if (progress.nextIndex <= log.snapshotIndex && !progress.snapshotPending) {
+        sendSnapshot(context, to);
+        return;
+    }
+    const nextIndex = Math.max(progress.nextIndex, log.snapshotIndex + 1);
+    const previousIndex = nextIndex - 1;
+    const entries = progress.snapshotPending ? [] : logQueries.entriesFrom(log, nextIndex, MAXIMUM_BATCH_ENTRIES);
+    const previousTerm = logQueries.termAt(log, previousIndex) ?? 0;
+    const message: ConsensusMessage = {
+        kind: "append-request",
+        term,
+        previousIndex,
+        previousTerm,
+        entries,
+        commitIndex,
+        round,
+    };
+    context.act({ kind: "send", to, message });
+    setProgress(context, to, { nextIndex: nextIndex + entries.length });
+};
+
+const sendToAll = (context: StepContext): void => {
+    context.peerIds.forEach((id) => sendEntries(context, id));
+};
+
+/** Peers that a new membership added get progress; peers that it removed lose theirs. */
+const followMembership = (context: StepContext): void => {
+    const present = context.state.peers;
+    const lastIndex = logQueries.lastIndex(context.state.log);
+    const fresh: PeerProgress = { nextIndex: lastIndex, matchIndex: 0, answeredRound: 0, snapshotPending: false };
+    context.update({ peers: new Map(context.peerIds.map((id) => [id, present.get(id) ?? fresh])) });
+};
+
+const appendAsLeader = (context: StepContext, entry: LogEntry): void => {
+    context.update({ log: logQueries.append(context.state.log, [entry]) });
+    if (entry.payload.kind === "membership") {
+        followMembership(context);
+    }
+    context.act({ kind: "persist-entries", fromIndex: entry.index, entries: [entry] });
+    sendToAll(context);
+};
+
+const isReplicated = (context: StepContext, index: number): boolean => {
+    const { durableIndex, id, peers } = context.state;
+    const holders = new Set([...peers].filter(([, { matchIndex }]) => matchIndex >= index).map(([peerId]) => peerId));
+    if (durableIndex >= index) {
+        holders.add(id);
+    }
+    return context.hasQuorum(context.membership, holders);
+};
+
+/** Commits the highest entry of the present term that a quorum holds. */
+const advanceCommit = (context: StepContext): void => {
+    const { commitIndex, log, term } = context.state;
+    for (let index = logQueries.lastIndex(log); index > commitIndex; index -= 1) {
+        if (logQueries.termAt(log, index) !== term) {
+            return;
+        }
+        if (isReplicated(context, index)) {
+            context.update({ commitIndex: index });
+            context.act({ kind: "committed", index });
+            return;
+        }
+    }
+};
+
+/** Sending the log and committing what a quorum holds. */
+export const replication = { appendAsLeader, advanceCommit, sendEntries, sendToAll, setProgress } as const;
--- /dev/null
+++ b/src/control/AdminResponse.ts
@@ -0,0 +1,5 @@
+/** An answer of the administration API: an HTTP status and a JSON body. */
+export type AdminResponse = {
+    readonly status: number;
+    readonly body: unknown;
+};
--- /dev/null
+++ b/src/control/authorize.ts
@@ -0,0 +1,32 @@
+import { CatalogueEntry } from "../catalogue/CatalogueEntry";
+import { die } from "../core/die";
+import { ErrorKind } from "../core/ErrorKind";
+import { proofsEqual } from "../transport/proofsEqual";
+import { Operator } from "./Operator";
+
+/**
+ * Finds the operator of a bearer token.
+ * @throws FilbertdealError of kind OperatorRejected
+ */
+const identify = (operators: readonly Operator[], authorization: string | undefined): Operator => {
+    const token = authorization?.replace(/^Bearer /, "") ?? "";
+    return operators.find((operator) => proofsEqual(operator.token, token))
+        ?? die(ErrorKind.OperatorRejected, "use the administration API");
+};
+
+/**
+ * Checks that the operator may change an entry: as it is now and as it would be.
+ * @throws FilbertdealError of kind OperatorRejected
+ */
+const checkScope = (operator: Operator, entries: readonly (CatalogueEntry | undefined)[]): void => {
+    for (const entry of entries) {
+        const ownerAllowed = operator.owner === "*" || operator.owner === entry?.owner;
+        const classAllowed = operator.class === "*" || operator.class === entry?.class;
+        if (entry && !(ownerAllowed && classAllowed)) {
+            die(ErrorKind.OperatorRejected, `change entries of owner ${entry.owner} and class ${entry.class}`);
+        }
+    }
+};
+
+/** Who an operator is and what it may change. */
+export const authorize = { identify, checkScope } as const;
--- /dev/null
+++ b/src/core/DisposableStore.ts
@@ -0,0 +1,37 @@
+import { Disposable } from "./Disposable";
+
+/** Gathers disposables and disposes of them once, last added first. */
+export class DisposableStore {
+    private items: Disposable[] = [];
+    private disposed = false;
+
+    /** Adds an item and returns it. An item added after disposal is disposed of at once. */
+    public add<Item extends Disposable>(item: Item): Item {
+        if (this.disposed) {
+            void item.dispose();
+            return item;
+        }
+        this.items.push(item);
+        return item;
+    }
+
+    /** Forgets an item that its owner disposes of. */
+    public remove(item: Disposable): void {
+        this.items = this.items.filter((present) => present !== item);
+    }
+
+    /** Calls `action` every `intervalMs` until the store is disposed of. */
+    public every(intervalMs: number, action: () => void): void {
+        const timer = setInterval(action, intervalMs);
+        this.add({ dispose: () => clearInterval(timer) });
+    }
+
+    public async dispose(): Promise<void> {
+        this.disposed = true;
+        const items = this.items.reverse();
+        this.items = [];
+        for (const item of items) {
+            await item.dispose();
+        }
+    }
+}
--- /dev/null
+++ b/src/core/FilbertdealError.ts
@@ -0,0 +1,12 @@
+import { VError } from "verror";
+import { ErrorKind } from "./ErrorKind";
+
+/** An error of a known kind. Its message names the remedy. */
+export class FilbertdealError extends VError {
+    public readonly kind: ErrorKind;
+
+    public constructor(kind: ErrorKind, message: string, cause?: Error) {
+        super({ name: "FilbertdealError", cause }, "%s", message);
+        this.kind = kind;
+    }
+}
--- /dev/null
+++ b/src/core/HybridClock.ts
@@ -0,0 +1,31 @@
+import { Clock } from "./Clock";
+import { HybridTimestamp } from "./HybridTimestamp";
+
+/**
+ * A hybrid logical clock. A reading taken after a message was received is greater than the
+ * reading that the message carried, so that sorting by reading respects cause and effect.
+ */
+export class HybridClock {
+    private last: HybridTimestamp = { wallMs: 0, counter: 0 };
+
+    public constructor(private readonly clock: Clock) {}
+
+    /** Advances the clock and returns the new reading. */
+    public tick(): HybridTimestamp {
+        const wallMs = Math.max(this.clock.wallMs(), this.last.wallMs);
+        const counter = wallMs === this.last.wallMs ? this.last.counter + 1 : 0;
+        this.last = { wallMs, counter };
+        return this.last;
+    }
+
+    /** Takes in the reading that a message carried. */
+    public observe(remote: HybridTimestamp): void {
+        if (remote.wallMs > this.last.wallMs) {
+            this.last = remote;
+            return;
+        }
+        if (remote.wallMs === this.last.wallMs && remote.counter > this.last.counter) {
+            this.last = remote;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/SystemClock.ts
@@ -0,0 +1,12 @@
+import { Clock } from "./Clock";
+
+/** The clock of the machine. */
+export class SystemClock extends Clock {
+    public override monotonicMs(): number {
+        return performance.now();
+    }
+
+    public override wallMs(): number {
+        return Date.now();
+    }
+}
--- /dev/null
+++ b/src/core/parseSettings.ts
@@ -0,0 +1,27 @@
+import { z } from "zod";
+import { die } from "./die";
+import { ErrorKind } from "./ErrorKind";
+
+const flagName = (path: readonly PropertyKey[]): string =>
+    `--${String(path[0]).replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+
+const environmentName = (path: readonly PropertyKey[]): string =>
+    `FILBERTDEAL_${String(path[0]).replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
+
+const describe = (message: string): string => (message.endsWith("received undefined") ? "is missing" : message);
+
+/**
+ * Checks raw settings against a schema.
+ * @throws FilbertdealError of kind SettingsInvalid that lists every fault with its flag and variable
+ */
+export const parseSettings = <Schema extends z.ZodType>(schema: Schema, raw: unknown): z.infer<Schema> => {
+    const result = schema.safeParse(raw);
+    if (result.success) {
+        return result.data;
+    }
+    const faults = result.error.issues.map(
+        ({ path, message }) =>
+            `  ${flagName(path)}: ${describe(message)}. Set ${flagName(path)} or ${environmentName(path)}`,
+    );
+    return die(ErrorKind.SettingsInvalid, faults.join("\n"));
+};
--- /dev/null
+++ b/src/distribution/toResource.ts
@@ -0,0 +1,17 @@
+import { EntryRecord } from "../catalogue/EntryRecord";
+import { ServiceResource } from "./ServiceResource";
+
+/** Derives what proxies are told from a catalogue record. */
+export const toResource = ({ candidate, entry, move, revision, service, stable }: EntryRecord): ServiceResource => {
+    const { maximumProxyShare, requestShareSteps } = entry.limits;
+    const lastStep = requestShareSteps.length - 1;
+    const step = move?.step ?? lastStep;
+    const shares = { requestShare: requestShareSteps[step], proxyShare: step === lastStep ? 1 : maximumProxyShare };
+    return {
+        service,
+        revision,
+        class: entry.class,
+        stable,
+        candidate: candidate && { ...candidate, ...shares },
+    };
+};
--- /dev/null
+++ b/src/membership/EndpointState.ts
@@ -0,0 +1,5 @@
+/** Whether a backend server takes new requests. */
+export enum EndpointState {
+    Ready = "ready",
+    Draining = "draining",
+}
--- /dev/null
+++ b/src/membership/chooseNeighbours.ts
@@ -0,0 +1,32 @@
+import { groupBy } from "../core/groupBy";
+import { rankByRendezvous } from "../core/rankByRendezvous";
+import { MemberRecord } from "./MemberRecord";
+import { membershipChanges } from "./membershipChanges";
+import { MembershipState } from "./MembershipState";
+
+/** Links that each member opens within its zone. With the links that others open, a member has about twice as many. */
+const LINKS_IN_ZONE = 3;
+
+/** Members of each zone that keep links to the other zones. */
+const GATEWAYS_PER_ZONE = 2;
+
+const rank = (key: string, members: readonly MemberRecord[]): readonly string[] =>
+    rankByRendezvous(key, members.map(({ id }) => id));
+
+/** The members that a process keeps links to: a few of its own zone and, if it is a gateway, one of each other zone. */
+export const chooseNeighbours = (state: MembershipState): readonly MemberRecord[] => {
+    const own = membershipChanges.own(state);
+    const others = membershipChanges.present(state).filter(({ id }) => id !== own.id);
+    const zones = groupBy(others, ({ zone }) => zone);
+    const inZone = zones.get(own.zone) ?? [];
+    const chosen = new Set(rank(own.id, inZone).slice(0, LINKS_IN_ZONE));
+    const gateways = rank(`gateway/${own.zone}`, [...inZone, own]).slice(0, GATEWAYS_PER_ZONE);
+    if (gateways.includes(own.id)) {
+        for (const [zone, members] of zones) {
+            if (zone !== own.zone) {
+                chosen.add(rank(`gateway/${zone}`, members)[gateways.indexOf(own.id) % members.length]);
+            }
+        }
+    }
+    return others.filter(({ id }) => chosen.has(id));
+};
--- /dev/null
+++ b/src/moves/estimateInForceMs.ts
@@ -0,0 +1,24 @@
+import { EntryRecord } from "../catalogue/EntryRecord";
+
+/** Allowance for bringing one step to every proxy. */
+const DISTRIBUTION_ALLOWANCE_MS = 1_000;
+
+/**
+ * The earliest time at which the move can be in force everywhere within its limits, in milliseconds since the
+ * Unix epoch, or undefined without a move.
+ */
+export const estimateInForceMs = ({ entry, move }: EntryRecord, nowMs: number): number | undefined => {
+    if (!move) {
+        return undefined;
+    }
+    if (move.inForceAtMs !== undefined) {
+        return move.inForceAtMs;
+    }
+    const { bakeMs, requestShareSteps } = entry.limits;
+    const stepsLeft = requestShareSteps.length - 1 - move.step;
+    if (stepsLeft === 0) {
+        return nowMs;
+    }
+    const stepEndsMs = Math.max(nowMs, move.stepStartedAtMs + bakeMs);
+    return stepEndsMs + (stepsLeft - 1) * bakeMs + stepsLeft * DISTRIBUTION_ALLOWANCE_MS;
+};
--- /dev/null
+++ b/src/moves/judgeThresholds.ts
@@ -0,0 +1,11 @@
+/** Strengths of suspicion, in natural log-likelihood. */
+export const judgeThresholds = {
+    /** Control takes a move back. */
+    takeBack: 12,
+    /** A node stops sending to the candidate on its own. */
+    suppress: 9,
+    /** Control takes a move back if a node suppresses it as well. */
+    supported: 5,
+    /** The share of proxies whose own suppression is enough to take a move back. */
+    suppressingShare: 0.1,
+} as const;
--- /dev/null
+++ b/src/moves/signals.ts
@@ -0,0 +1,7 @@
+/** The kinds of harm that a version is judged by, and how much worse than the baseline each may be. */
+export const signals = [
+    { name: "errors", slack: 0.01 },
+    { name: "slowness", slack: 0.02 },
+    { name: "refusals", slack: 0.05 },
+    { name: "cancellations", slack: 0.02 },
+] as const;
--- /dev/null
+++ b/src/node/HostServer.ts
@@ -0,0 +1,94 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { z } from "zod";
+import { Disposable } from "../core/Disposable";
+import { listenHttp } from "../transport/listenHttp";
+import { proofsEqual } from "../transport/proofsEqual";
+import { SocketAddress } from "../transport/SocketAddress";
+import { announcementSchema } from "./announcementSchema";
+
+const MAXIMUM_BODY_BYTES = 16_384;
+
+/** What the host side is built from. */
+type HostOptions = {
+    readonly secret: string;
+    readonly announce: (announcement: z.infer<typeof announcementSchema>) => void;
+    readonly status: () => unknown;
+    readonly members: () => unknown;
+    readonly drain: () => void;
+};
+
+const readText = async (request: IncomingMessage): Promise<string> => {
+    let text = "";
+    for await (const chunk of request) {
+        text += String(chunk);
+        if (text.length > MAXIMUM_BODY_BYTES) {
+            throw new Error(`the body exceeds ${MAXIMUM_BODY_BYTES} bytes`);
+        }
+    }
+    return text;
+};
+
+const answer = (response: ServerResponse, status: number, body: unknown): void => {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+};
+
+/** Serves the backend servers of this host, and operators who look at this node. */
+export class HostServer implements Disposable {
+    private readonly server: Server;
+
+    public constructor(private readonly options: HostOptions) {
+        this.server = createServer((request, response) => void this.serve(request, response));
+    }
+
+    public listen(address: SocketAddress): Promise<SocketAddress> {
+        return listenHttp(this.server, address);
+    }
+
+    public dispose(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        try {
+            await this.route(request, response);
+        }
+        catch (error) {
+            answer(response, 400, { error: "request-invalid", message: (error as Error).message });
+        }
+    }
+
+    private async route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { announce, drain, members, status } = this.options;
+        switch (`${request.method} ${request.url}`) {
+            case "POST /v1/backends":
+                announce(announcementSchema.parse(JSON.parse(await readText(request))));
+                answer(response, 200, { accepted: true });
+                return;
+            case "GET /v1/status":
+                answer(response, 200, status());
+                return;
+            case "GET /v1/members":
+                answer(response, 200, members());
+                return;
+            case "POST /v1/drain":
+                if (!this.isAuthorized(request)) {
+                    answer(response, 403, {
+                        error: "operator-rejected",
+                        message: "give the mesh secret with --secret",
+                    });
+                    return;
+                }
+                answer(response, 202, { draining: true });
+                drain();
+                return;
+            default:
+                answer(response, 404, { error: "request-invalid", message: "see docs/OPERATING.md for the calls" });
+        }
+    }
+
+    private isAuthorized({ headers }: IncomingMessage): boolean {
+        return proofsEqual(headers.authorization ?? "", `Bearer ${this.options.secret}`);
+    }
+}
--- /dev/null
+++ b/src/node/NodeSettings.ts
@@ -0,0 +1,5 @@
+import { z } from "zod";
+import { nodeSettingsSchema } from "./nodeSettingsSchema";
+
+/** The checked settings of a node. */
+export type NodeSettings = Readonly<z.infer<typeof nodeSettingsSchema>>;
--- /dev/null
+++ b/src/node/createNode.ts
@@ -0,0 +1,279 @@
+import { Disposable } from "../core/Disposable";
+import { DisposableStore } from "../core/DisposableStore";
+import { EventLog } from "../core/EventLog";
+import { hashFraction } from "../core/hashFraction";
+import { HybridClock } from "../core/HybridClock";
+import { RandomSource } from "../core/RandomSource";
+import { SystemClock } from "../core/SystemClock";
+import { ChildTask } from "../distribution/ChildTask";
+import { chooseParents } from "../distribution/chooseParents";
+import { ParentTask } from "../distribution/ParentTask";
+import { ReportTask } from "../distribution/ReportTask";
+import { ResourceState } from "../distribution/ResourceState";
+import { EndpointState } from "../membership/EndpointState";
+import { membershipChanges } from "../membership/membershipChanges";
+import { MembershipState } from "../membership/MembershipState";
+import { MembershipTask } from "../membership/MembershipTask";
+import { MemberStatus } from "../membership/MemberStatus";
+import { MetricsTask } from "../metrics/MetricsTask";
+import { buildEndpointIndex } from "../proxy/buildEndpointIndex";
+import { buildRoutingTable } from "../proxy/buildRoutingTable";
+import { CallerServer } from "../proxy/CallerServer";
+import { CallRunner } from "../proxy/CallRunner";
+import { CandidateGuard } from "../proxy/CandidateGuard";
+import { EndpointTarget } from "../proxy/EndpointTarget";
+import { EndpointTracker } from "../proxy/EndpointTracker";
+import { EvidenceRecorder } from "../proxy/EvidenceRecorder";
+import { InboundServer } from "../proxy/InboundServer";
+import { LocalBackend } from "../proxy/LocalBackend";
+import { localBackends } from "../proxy/localBackends";
+import { RoutingTable } from "../proxy/RoutingTable";
+import { UpstreamClient } from "../proxy/UpstreamClient";
+import { parseAddress } from "../transport/parseAddress";
+import { PeerNetwork } from "../transport/PeerNetwork";
+import { SocketAddress } from "../transport/SocketAddress";
+import { FloorGate } from "./FloorGate";
+import { HostServer } from "./HostServer";
+import { NodeSettings } from "./NodeSettings";
+import { toServiceReports } from "./toServiceReports";
+
+const EVIDENCE_INTERVAL_MS = 250;
+const BACKEND_CHECK_INTERVAL_MS = 500;
+
+/** Time for the news of a drain to reach the other nodes. */
+const DRAIN_SPREAD_MS = 1_500;
+const IDLE_CHECK_INTERVAL_MS = 50;
+const LEAVE_SPREAD_MS = 100;
+
+/** A running node. */
+type Node = Disposable & {
+    readonly addresses: NodeAddresses;
+    /** Graceful shutdown: takes no new work, finishes requests in progress, leaves. */
+    readonly stop: () => Promise<void>;
+};
+
+type NodeAddresses = {
+    readonly peer: SocketAddress;
+    readonly caller: SocketAddress;
+    readonly inbound: SocketAddress;
+    readonly host: SocketAddress;
+};
+
+const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
+const addressText = ({ host, port }: SocketAddress): string => `${host}:${port}`;
+const splitList = (text: string): readonly string[] => text.split(",").filter(Boolean);
+const pause = (delayMs: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, delayMs));
+
+/** Wires a node and starts it. `onDrain` is called when an operator drains the host. */
+export const createNode = async (settings: NodeSettings, onDrain: () => void): Promise<Node> => {
+    const resources = new DisposableStore();
+    const clock = new SystemClock();
+    const hybridClock = new HybridClock(clock);
+    const log = new EventLog(settings.id, hybridClock);
+    const random = new RandomSource(settings.seed);
+    const localHost = addressOf(settings.peerAddress).host;
+    const network = resources.add(
+        new PeerNetwork({ identity: settings.id, secret: settings.secret, localHost, hybridClock, random }),
+    );
+    const upstream = resources.add(new UpstreamClient(localHost));
+
+    let backends: ReadonlyMap<string, LocalBackend> = new Map();
+    const inbound = resources.add(new InboundServer({ clock, upstream, backend: (key) => backends.get(key) }));
+    const peerAddress = await network.listen(addressOf(settings.peerAddress));
+    const inboundAddress = await inbound.listen(addressOf(settings.inboundAddress));
+
+    // The routing table and the endpoint index are replaced whole; a request reads each once.
+    let table: RoutingTable = new Map();
+    let endpoints: ReadonlyMap<string, readonly EndpointTarget[]> = new Map();
+    const tracker = new EndpointTracker();
+    const recorder = new EvidenceRecorder();
+    const floorGate = new FloorGate(clock.monotonicMs(), settings.seeds !== "");
+    const ownServices = splitList(settings.services);
+
+    const reportOwn = (state: ResourceState): void => {
+        reports.reportOwn(toServiceReports(settings.zone, ownServices, state, guard), []);
+    };
+    const guard = new CandidateGuard(({ reason, service, version }) => {
+        log.warn("candidate-suppressed", { service, version, reason });
+        reportOwn(child.present);
+    });
+    const reports = resources.add(new ReportTask((services, evidence) => child.report(services, evidence)));
+    const parent = resources.add(
+        new ParentTask({
+            network,
+            clock,
+            random,
+            reports,
+            onWanted: (wanted) => child.want(new Set([...ownServices, ...wanted])),
+        }),
+    );
+    const child: ChildTask = resources.add(
+        new ChildTask({
+            zone: settings.zone,
+            network,
+            clock,
+            log,
+            parents: () =>
+                chooseParents({
+                    ownId: settings.id,
+                    ownZone: settings.zone,
+                    members: membershipChanges.present(membership.present),
+                    controls: splitList(settings.controls),
+                }),
+            onChange: (state, changed) => {
+                table = buildRoutingTable(state);
+                guard.follow(table);
+                floorGate.reach(state.sourceRevision);
+                membership.tellFloor();
+                parent.publish(state);
+                if (changed.length > 0) {
+                    reportOwn(state);
+                }
+                for (const service of changed) {
+                    const revision = state.resources.get(service)?.revision;
+                    log.info("configuration-in-force", { service, revision });
+                }
+            },
+            onParent: () => reports.startOver(),
+        }),
+    );
+
+    const followMembers = (state: MembershipState): void => {
+        endpoints = buildEndpointIndex(membershipChanges.present(state));
+        tracker.follow(endpoints, clock.monotonicMs());
+    };
+    const membership: MembershipTask = resources.add(
+        new MembershipTask({
+            own: {
+                id: settings.id,
+                zone: settings.zone,
+                incarnation: clock.wallMs(),
+                sequence: 1,
+                status: MemberStatus.Alive,
+                peerAddress: settings.advertisePeer ?? addressText(peerAddress),
+                inboundAddress: settings.advertiseInbound ?? addressText(inboundAddress),
+                endpoints: [],
+            },
+            network,
+            seeds: splitList(settings.seeds).map(addressOf),
+            clock,
+            log,
+            ownFloor: () => child.present.sourceRevision,
+            onChange: followMembers,
+            onFloor: (floor) => floorGate.learn(floor),
+        }),
+    );
+    reportOwn(child.present);
+    child.want(new Set(ownServices));
+
+    const setBackends = (next: ReadonlyMap<string, LocalBackend>, leaving = false): void => {
+        backends = next;
+        const announced = [...next.values()].map(({ backendVersion, service, slots, state }) => ({
+            service,
+            backendVersion,
+            slots,
+            state: leaving ? EndpointState.Draining : state,
+        }));
+        const present = membershipChanges.own(membership.present).endpoints;
+        if (JSON.stringify(present) !== JSON.stringify(announced)) {
+            membership.changeOwn({ endpoints: announced });
+            log.info("backends-changed", { count: announced.length, leaving });
+        }
+    };
+    let stopping = false;
+    resources.every(BACKEND_CHECK_INTERVAL_MS, () => {
+        setBackends(localBackends.expire(backends, clock.monotonicMs()), stopping);
+    });
+    resources.every(EVIDENCE_INTERVAL_MS, () => {
+        const watched = recorder.take().filter(({ service }) => table.get(service)?.candidate);
+        if (watched.length > 0) {
+            guard.observe(watched);
+            reports.reportOwn([], watched);
+        }
+    });
+
+    const runner = new CallRunner({
+        clock,
+        random,
+        ownZone: settings.zone,
+        upstream,
+        tracker,
+        endpoints: () => endpoints,
+    });
+    const caller = resources.add(
+        new CallerServer({
+            nodeId: settings.id,
+            clock,
+            random,
+            table: () => (floorGate.isOpen(clock.monotonicMs()) ? table : undefined),
+            proxyFraction: (service, version) => hashFraction(`${settings.id}/${service}/${version}`),
+            guard,
+            recorder,
+            runner,
+        }),
+    );
+    const host = resources.add(
+        new HostServer({
+            secret: settings.secret,
+            announce: (announcement) => {
+                setBackends(localBackends.announce(backends, announcement, clock.monotonicMs()), stopping);
+            },
+            status: () => ({
+                id: settings.id,
+                zone: settings.zone,
+                parent: child.parentAddress,
+                children: parent.childCount,
+                sourceRevision: child.present.sourceRevision,
+                serving: floorGate.isOpen(clock.monotonicMs()),
+                resources: [...child.present.resources.values()],
+                servedRequests: caller.servedRequests,
+                traffic: {
+                    ...network.traffic,
+                    sentByChannel: Object.fromEntries(network.traffic.sentByChannel),
+                },
+                memory: process.memoryUsage(),
+                cpu: process.cpuUsage(),
+            }),
+            members: () => [...membership.present.members.values()].map(({ record }) => record),
+            drain: onDrain,
+        }),
+    );
+    resources.add(
+        new MetricsTask(settings.statsd, settings.id, () => ({
+            "node.requests": caller.servedRequests,
+            "node.active_requests": caller.activeRequests,
+            "node.children": parent.childCount,
+            "node.source_revision": child.present.sourceRevision,
+            "node.sent_bytes": network.traffic.sentBytes,
+        })),
+    );
+
+    const callerAddress = await caller.listen(addressOf(settings.callerAddress));
+    const hostAddress = await host.listen(addressOf(settings.hostAddress));
+    const addresses = { peer: peerAddress, caller: callerAddress, inbound: inboundAddress, host: hostAddress };
+    log.info("node-started", {
+        zone: settings.zone,
+        peerAddress: addressText(peerAddress),
+        callerAddress: addressText(callerAddress),
+        inboundAddress: addressText(inboundAddress),
+        hostAddress: addressText(hostAddress),
+    });
+
+    const stop = async (): Promise<void> => {
+        stopping = true;
+        log.info("node-draining");
+        setBackends(backends, true);
+        await pause(DRAIN_SPREAD_MS);
+        caller.stopAccepting();
+        inbound.stopAccepting();
+        const limitMs = clock.monotonicMs() + settings.drainTimeoutMs;
+        while (caller.activeRequests + inbound.activeRequests > 0 && clock.monotonicMs() < limitMs) {
+            await pause(IDLE_CHECK_INTERVAL_MS);
+        }
+        membership.leave();
+        await pause(LEAVE_SPREAD_MS);
+        log.info("node-stopped", { unfinished: caller.activeRequests + inbound.activeRequests });
+        await resources.dispose();
+    };
+    return { addresses, stop, dispose: () => resources.dispose() };
+};
--- /dev/null
+++ b/src/node/toServiceReports.ts
@@ -0,0 +1,21 @@
+import { ResourceState } from "../distribution/ResourceState";
+import { ServiceReport } from "../distribution/ServiceReport";
+import { CandidateGuard } from "../proxy/CandidateGuard";
+
+/** Reports how far this proxy is with each service that its callers use. */
+export const toServiceReports = (
+    zone: string,
+    services: readonly string[],
+    { resources }: ResourceState,
+    guard: CandidateGuard,
+): readonly ServiceReport[] =>
+    services.map((service) => {
+        const revision = resources.get(service)?.revision;
+        return {
+            zone,
+            service,
+            subscribers: 1,
+            holding: revision === undefined ? [] : [{ revision, proxies: 1 }],
+            suppressing: guard.isSuppressed(service) ? 1 : 0,
+        };
+    });
--- /dev/null
+++ b/src/proxy/sendRefusal.ts
@@ -0,0 +1,24 @@
+import { ServerResponse } from "node:http";
+import { proxyHeaders } from "./proxyHeaders";
+import { Refusal } from "./Refusal";
+
+const MS_PER_SECOND = 1_000;
+
+/** Answers with a refusal at once. A caller whose request did not run is told so, and when to come back. */
+export const sendRefusal = (response: ServerResponse, refusal: Refusal): void => {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const { outcome, reason, retryAfterMs, status } = refusal;
+    response.setHeader(proxyHeaders.outcome, outcome);
+    if (outcome === "not-run") {
+        response.setHeader(proxyHeaders.notRun, "1");
+    }
+    if (retryAfterMs !== undefined) {
+        response.setHeader(proxyHeaders.retryAfterMs, String(retryAfterMs));
+        response.setHeader("retry-after", String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND))));
+    }
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(`${JSON.stringify({ error: outcome, message: reason })}\n`);
+};
--- /dev/null
+++ b/src/transport/FrameDecoder.ts
@@ -0,0 +1,49 @@
+import { die } from "../core/die";
+import { ErrorKind } from "../core/ErrorKind";
+import { codec } from "./codec";
+
+const LENGTH_BYTES = 4;
+
+/** Cuts a byte stream into frames (4-byte big-endian length, then CBOR) and decodes them. */
+export class FrameDecoder {
+    private chunks: Buffer[] = [];
+    private available = 0;
+
+    public constructor(private readonly maximumFrameBytes: number) {}
+
+    /**
+     * Takes in bytes and returns the messages that are complete.
+     * @throws FilbertdealError of kind FrameTooLarge
+     */
+    public push(chunk: Buffer): readonly unknown[] {
+        this.chunks.push(chunk);
+        this.available += chunk.length;
+        const messages: unknown[] = [];
+        for (let frame = this.nextFrame(); frame; frame = this.nextFrame()) {
+            // An empty frame is a heartbeat: it only shows that the peer is alive.
+            if (frame.length > 0) {
+                messages.push(codec.decode(frame));
+            }
+        }
+        return messages;
+    }
+
+    private nextFrame(): Buffer | undefined {
+        if (this.available < LENGTH_BYTES) {
+            return undefined;
+        }
+        const bytes = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+        this.chunks = [bytes];
+        const length = bytes.readUInt32BE(0);
+        if (length > this.maximumFrameBytes) {
+            die(ErrorKind.FrameTooLarge, length, this.maximumFrameBytes);
+        }
+        if (bytes.length < LENGTH_BYTES + length) {
+            return undefined;
+        }
+        const rest = bytes.subarray(LENGTH_BYTES + length);
+        this.chunks = rest.length > 0 ? [rest] : [];
+        this.available = rest.length;
+        return bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
+    }
+}
--- /dev/null
+++ b/src/transport/PeerNetwork.ts
@@ -0,0 +1,151 @@
+import { Disposable } from "../core/Disposable";
+import { DisposableStore } from "../core/DisposableStore";
+import { HybridClock } from "../core/HybridClock";
+import { RandomSource } from "../core/RandomSource";
+import { Channel } from "./Channel";
+import { Envelope } from "./Envelope";
+import { FramedConnection } from "./FramedConnection";
+import { PeerLink } from "./PeerLink";
+import { PeerServer } from "./PeerServer";
+import { SocketAddress } from "./SocketAddress";
+
+/** The ends of a connection as tasks see it: something to answer on. */
+type Remote = {
+    readonly identity: string;
+    readonly send: (body: unknown) => number;
+    readonly close: () => void;
+};
+
+/** What a task does with connections that others opened on its channel. */
+type ChannelHandler = {
+    readonly onMessage: (remote: Remote, body: unknown) => void;
+    readonly onClose: (remote: Remote) => void;
+};
+
+/** What a task does with a link that it opened. */
+type LinkHandler = {
+    readonly onOpen?: (peerIdentity: string) => void;
+    readonly onMessage: (body: unknown) => void;
+    readonly onClose?: () => void;
+};
+
+/** Who this process is to its peers. */
+type NetworkOptions = {
+    readonly identity: string;
+    readonly secret: string;
+    readonly localHost: string;
+    readonly hybridClock: HybridClock;
+    readonly random: RandomSource;
+};
+
+const isEnvelope = (raw: unknown): raw is Envelope =>
+    typeof raw === "object" && raw !== undefined && "channel" in (raw as object) && "at" in (raw as object);
+
+/** All connections of a process with its peers: accepts them, opens them and hands messages to tasks by channel. */
+export class PeerNetwork implements Disposable {
+    private readonly resources = new DisposableStore();
+    private readonly handlers = new Map<Channel, ChannelHandler>();
+    private readonly server: PeerServer;
+    private sentBytes = 0;
+    private receivedBytes = 0;
+    private readonly sentByChannel = new Map<Channel, number>();
+
+    public constructor(private readonly options: NetworkOptions) {
+        this.server = new PeerServer(options.identity, options.secret, (connection) => this.accept(connection));
+        this.resources.add(this.server);
+    }
+
+    /** Bytes sent and received on all connections, by channel for what was sent. */
+    public get traffic() {
+        return {
+            sentBytes: this.sentBytes,
+            receivedBytes: this.receivedBytes,
+            sentByChannel: new Map(this.sentByChannel),
+        } as const;
+    }
+
+    public listen(address: SocketAddress): Promise<SocketAddress> {
+        return this.server.listen(address);
+    }
+
+    /** Gives a channel to a task. */
+    public handle(channel: Channel, handler: ChannelHandler): void {
+        this.handlers.set(channel, handler);
+    }
+
+    /** Opens a link that reconnects until it is disposed of. */
+    public open(channel: Channel, address: SocketAddress, handler: LinkHandler) {
+        const { hybridClock, identity, localHost, random, secret } = this.options;
+        const link = new PeerLink(address, {
+            identity,
+            secret,
+            localHost,
+            random,
+            onOpen: () => handler.onOpen?.(link.peerIdentity),
+            onMessage: (raw) => {
+                if (isEnvelope(raw)) {
+                    hybridClock.observe(raw.at);
+                    handler.onMessage(raw.body);
+                }
+            },
+            onBytes: (count) => this.countReceived(count),
+            onClose: handler.onClose,
+        });
+        this.resources.add(link);
+        return {
+            isOpen: () => link.isOpen,
+            send: (body: unknown) => this.count(channel, link.send(this.wrap(channel, body))),
+            holdBack: (delayMs: number) => link.holdBack(delayMs),
+            dispose: () => {
+                this.resources.remove(link);
+                link.dispose();
+            },
+        } as const;
+    }
+
+    public dispose(): Promise<void> {
+        return this.resources.dispose();
+    }
+
+    private accept(connection: FramedConnection): void {
+        const remotes = new Map<Channel, Remote>();
+        const remoteFor = (channel: Channel): Remote => {
+            const known = remotes.get(channel);
+            if (known) {
+                return known;
+            }
+            const remote: Remote = {
+                identity: connection.peerIdentity,
+                send: (body) => this.count(channel, connection.send(this.wrap(channel, body))),
+                close: () => connection.close(),
+            };
+            remotes.set(channel, remote);
+            return remote;
+        };
+        connection.listen({
+            onMessage: (raw) => {
+                if (!isEnvelope(raw)) {
+                    return;
+                }
+                this.options.hybridClock.observe(raw.at);
+                this.handlers.get(raw.channel)?.onMessage(remoteFor(raw.channel), raw.body);
+            },
+            onBytes: (count) => this.countReceived(count),
+            onClose: () => remotes.forEach((remote, channel) => this.handlers.get(channel)?.onClose(remote)),
+        });
+    }
+
+    private wrap(channel: Channel, body: unknown): Envelope {
+        return { channel, at: this.options.hybridClock.tick(), body };
+    }
+
+    private count(channel: Channel, bytes: number): number {
+        this.sentBytes += bytes;
+        this.sentByChannel.set(channel, (this.sentByChannel.get(channel) ?? 0) + bytes);
+        return bytes;
+    }
+
+    private countReceived(bytes: number): void {
+        this.receivedBytes += bytes;
+    }
+}
--- /dev/null
+++ b/src/transport/acceptConnection.ts
@@ -0,0 +1,48 @@
+import { randomBytes } from "node:crypto";
+import { Socket } from "node:net";
+import { FramedConnection } from "./FramedConnection";
+import { HandshakeMessage } from "./HandshakeMessage";
+import { handshakeProof } from "./handshakeProof";
+import { proofsEqual } from "./proofsEqual";
+import { TransportLimits } from "./TransportLimits";
+
+const NONCE_BYTES = 16;
+
+/**
+ * Runs the server's side of the handshake.
+ * @returns the connection with its peer's identity, or undefined if the peer failed
+ */
+export const acceptConnection = (
+    socket: Socket,
+    identity: string,
+    secret: string,
+): Promise<FramedConnection | undefined> =>
+    new Promise((resolve) => {
+        const connection = new FramedConnection(socket);
+        const nonce = randomBytes(NONCE_BYTES).toString("hex");
+        const timer = setTimeout(() => connection.close(), TransportLimits.HandshakeTimeoutMs);
+        const finish = (result: FramedConnection | undefined): void => {
+            clearTimeout(timer);
+            connection.pause();
+            result?.keepAlive();
+            resolve(result);
+        };
+        const onResponse = (raw: unknown): void => {
+            const message = raw as HandshakeMessage;
+            if (message.kind !== "response") {
+                connection.close();
+                return;
+            }
+            const nonces = [nonce, String(message.nonce)];
+            const expected = handshakeProof(secret, "client", nonces, String(message.identity));
+            if (!proofsEqual(expected, String(message.proof))) {
+                connection.close();
+                return;
+            }
+            connection.peerIdentity = message.identity;
+            connection.send({ kind: "accepted", proof: handshakeProof(secret, "server", nonces, identity) });
+            finish(connection);
+        };
+        connection.listen({ onMessage: onResponse, onClose: () => finish(undefined) });
+        connection.send({ kind: "challenge", nonce, identity } satisfies HandshakeMessage);
+    });
--- /dev/null
+++ b/src/transport/encodeFrame.ts
@@ -0,0 +1,12 @@
+import { codec } from "./codec";
+
+const LENGTH_BYTES = 4;
+
+/** Encodes a message as one frame: 4-byte big-endian length, then CBOR. */
+export const encodeFrame = (message: unknown): Buffer => {
+    const body = codec.encode(message);
+    const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+    frame.writeUInt32BE(body.length, 0);
+    body.copy(frame, LENGTH_BYTES);
+    return frame;
+};
--- /dev/null
+++ b/src/transport/parseAddress.ts
@@ -0,0 +1,11 @@
+import { isIP } from "node:net";
+import { SocketAddress } from "./SocketAddress";
+
+/** Reads "IP:PORT", or returns undefined if the text is not an address. */
+export const parseAddress = (text: string): SocketAddress | undefined => {
+    const separator = text.lastIndexOf(":");
+    const host = text.slice(0, separator);
+    const port = Number(text.slice(separator + 1));
+    const valid = separator > 0 && isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port < 65536;
+    return valid ? { host, port } : undefined;
+};
--- /dev/null
+++ b/src/transport/proofsEqual.ts
@@ -0,0 +1,8 @@
+import { timingSafeEqual } from "node:crypto";
+
+/** Compares two proofs in constant time. */
+export const proofsEqual = (left: string, right: string): boolean => {
+    const leftBytes = Buffer.from(left);
+    const rightBytes = Buffer.from(right);
+    return leftBytes.length === rightBytes.length && timingSafeEqual(leftBytes, rightBytes);
+};
--- /dev/null
+++ b/types/cbor-x.d.ts
@@ -0,0 +1,6 @@
+/** The part of cbor-x that this project uses, typed for CommonJS. */
+export class Encoder {
+    public constructor(options: Readonly<Record<string, boolean>>);
+    public encode(value: unknown): Buffer;
+    public decode(bytes: Buffer): unknown;
+}
