Judge a version by its attempts, not by what callers saw after retries

Cause: in the first run of the demo a version that failed every second request kept traffic for 3,678 ms after its first visible fault (target 3,000 ms). Retries on the lookups route hid its failures, so only the route without retries gave evidence. Ruled out: late distribution (the take-back reached all 12 proxies in 22 ms). Change: a call whose earlier attempt failed counts as a failure of the version even when a retry spared the caller.

--- /dev/null
+++ b/src/bin/demo.ts
@@ -0,0 +1,173 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { MoveResult } from "../catalogue/MoveResult";
+import { readEntryFile } from "../cli/readEntryFile";
+import { convergenceMs } from "../emulator/convergenceMs";
+import { Mesh } from "../emulator/Mesh";
+import { MeshOperator } from "../emulator/MeshOperator";
+import { MeshSpecification } from "../emulator/MeshSpecification";
+import { LoadRunner } from "../load/LoadRunner";
+import { noFault } from "../load/noFault";
+import { runProgram } from "../process/runProgram";
+
+const EXAMPLES = resolve(__dirname, "..", "..", "examples");
+const SERVICES = ["lipa-map", "lipa-survey", "bursa-stock", "bursa-dispatch"] as const;
+const ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"] as const;
+const HOSTS_PER_ZONE = 3;
+const LOAD_MS = 40_000;
+const SEED = 7;
+
+type Hosts = MeshSpecification["hosts"];
+
+/** Twelve hosts in four zones; each serves one service, the map and the stock desk the most. */
+const hosts: Hosts = ZONES.flatMap((zone, zoneIndex) =>
+    Array.from({ length: HOSTS_PER_ZONE }, (_, index) => {
+        const number = zoneIndex * HOSTS_PER_ZONE + index;
+        const service = SERVICES[number % SERVICES.length];
+        const slots = service.startsWith("lipa") ? 12 : 6;
+        return {
+            id: `node-${number + 1}`,
+            zone,
+            backends: [{ service, backendVersion: "v1", slots, latencyMs: 4 }],
+        };
+    })
+);
+
+const print = (line: string): void => void process.stdout.write(`${line}\n`);
+
+/** Prints what was checked. Returns whether it is true. */
+const check = (what: string, holds: boolean): boolean => {
+    print(`  ${holds ? "ok    " : "FALSE "} ${what}`);
+    return holds;
+};
+
+const startLoad = (mesh: Mesh, service: string, paths: readonly [string, string], seed: number): LoadRunner =>
+    new LoadRunner({
+        targets: mesh.callerAddresses,
+        service,
+        requestsPerSecond: 200,
+        durationMs: LOAD_MS,
+        requests: [
+            { method: "GET", path: paths[0], weight: 9 },
+            { method: "POST", path: paths[1], weight: 1 },
+        ],
+        timeoutMs: 1_000,
+        seed,
+        maximumConnections: 64,
+    });
+
+const startVersion = async (mesh: Mesh, service: string, backendVersion: string, failing: boolean): Promise<void> => {
+    const serving = hosts.filter(({ backends }) => backends.some((backend) => backend.service === service));
+    for (const { backends, id } of serving) {
+        const fault = failing ? { ...noFault, kind: "fail" as const, share: 0.5 } : noFault;
+        await mesh.startBackend(id, { ...backends[0], backendVersion }, fault);
+    }
+};
+
+const withVersion = (entry: Readonly<Record<string, unknown>>, pool: string, backendVersion: string) => ({
+    ...entry,
+    content: { ...(entry.content as object), pools: { [pool]: { backendVersion } } },
+    completeBy: new Date(Date.now() + 60_000).toISOString(),
+});
+
+const describe = (milliseconds: number | undefined): string =>
+    milliseconds === undefined ? "not reached" : `${Math.round(milliseconds)} ms`;
+
+const sentBytes = async (mesh: Mesh): Promise<number> => {
+    const statuses = await Promise.all(mesh.hosts.map(({ id }) => mesh.nodeStatus(id)));
+    return statuses.reduce((sum, status) => sum + (status?.traffic.sentBytes ?? 0), 0);
+};
+
+const runStory = async (mesh: Mesh): Promise<boolean> => {
+    const operator = new MeshOperator(mesh);
+    print("1. The operators accept a first version of four services.");
+    for (const service of SERVICES) {
+        await operator.apply(await readEntryFile(join(EXAMPLES, `${service}.yaml`)));
+    }
+    for (const service of SERVICES) {
+        await operator.ended(service, 1);
+    }
+    const leader = await mesh.leader();
+    print(`   all four are in force on ${mesh.hosts.length} proxies; ${leader.id} leads`);
+
+    print("2. Callers arrive: 200 requests a second to the map and to the stock desk.");
+    const mapLoad = startLoad(mesh, "lipa-map", ["/tiles/1/2/3", "/orders"], SEED);
+    const stockLoad = startLoad(mesh, "bursa-stock", ["/blanks/walnut", "/reservations"], SEED + 1);
+    const loads = [mapLoad.run(), stockLoad.run()] as const;
+    const bytesBefore = await sentBytes(mesh);
+    const startedMs = performance.now();
+
+    print("3. Lipa moves the map to v2, which is good.");
+    await startVersion(mesh, "lipa-map", "v2", false);
+    const map = await readEntryFile(join(EXAMPLES, "lipa-map.yaml"));
+    const goodVersion = await operator.apply(withVersion(map, "tiles", "v2"));
+    const good = await operator.ended("lipa-map", goodVersion);
+    print(`   ${good.lastOutcome?.result}: ${good.lastOutcome?.reason}; on time: ${good.lastOutcome?.onTime}`);
+
+    print("4. Bursa moves the stock desk to v2, which fails every second request.");
+    await startVersion(mesh, "bursa-stock", "v2", true);
+    const stock = await readEntryFile(join(EXAMPLES, "bursa-stock.yaml"));
+    const badVersion = await operator.apply(withVersion(stock, "desk", "v2"));
+    const bad = await operator.ended("bursa-stock", badVersion);
+    print(`   ${bad.lastOutcome?.result}: ${bad.lastOutcome?.reason}`);
+
+    const seconds = (performance.now() - startedMs) / 1_000;
+    const bytesPerNode = ((await sentBytes(mesh)) - bytesBefore) / mesh.hosts.length / seconds;
+    mapLoad.stop();
+    stockLoad.stop();
+    const [mapResult, stockResult] = await Promise.all(loads);
+    const harmed = stockResult.failedByBackendVersion.v2 ?? 0;
+    const harmMs = (stockResult.lastFailureMs.v2 ?? 0) - (stockResult.firstFailureMs.v2 ?? 0);
+    const repeated = mesh.hosts.flatMap(({ backends }) => backends.flatMap(({ statistics }) => statistics.repeated));
+
+    print("What happened:");
+    print(
+        `  last step of the good move reached all proxies in ${
+            describe(convergenceMs(mesh, "lipa-map", good.revision))
+        }`,
+    );
+    print(`  the take-back reached all proxies in ${describe(convergenceMs(mesh, "bursa-stock", bad.revision))}`);
+    print(`  control traffic: ${Math.round(bytesPerNode)} bytes a second sent by a node`);
+    print(`  callers harmed by the bad version: ${harmed} of ${stockResult.sent}, within ${describe(harmMs)}`);
+    print(`  map: p50 ${mapResult.latencyMs.p50.toFixed(1)} ms, p99 ${mapResult.latencyMs.p99.toFixed(1)} ms`);
+    const checks = [
+        check(
+            "the good version is finished, on time",
+            good.lastOutcome?.result === MoveResult.Finished && good.lastOutcome.onTime,
+        ),
+        check("the bad version is taken back", bad.lastOutcome?.result === MoveResult.TakenBack),
+        check("the version number went up when it was taken back", bad.version > badVersion),
+        check("no caller of the map was harmed", mapResult.failed === 0),
+        check("the bad version harmed fewer than 2 in 100 callers", harmed < stockResult.sent * 0.02),
+        check("the bad version got no traffic after 3 s from its first fault", harmMs <= 3_000),
+        check("no order or reservation ran twice", repeated.length === 0),
+        check(
+            "every caller got the answer to its own request",
+            mapResult.misdelivered + stockResult.misdelivered === 0,
+        ),
+    ];
+    return checks.every(Boolean);
+};
+
+runProgram(async () => {
+    const folder = await mkdtemp(join(tmpdir(), "filbertdeal-demo-"));
+    const mesh = await Mesh.start({
+        controls: 3,
+        hosts,
+        services: SERVICES,
+        folder,
+        seed: SEED,
+        withFaults: false,
+    });
+    let succeeded = false;
+    try {
+        succeeded = await runStory(mesh);
+    }
+    finally {
+        await mesh.dispose();
+        await rm(folder, { recursive: true, force: true });
+    }
+    print(succeeded ? "The demo has shown what it claims." : "The demo has FAILED.");
+    process.exit(succeeded ? 0 : 1);
+});
--- a/src/proxy/CallRunner.ts
+++ b/src/proxy/CallRunner.ts
@@ -30,6 +30,12 @@
     readonly memberId: string | undefined;
 };
 
+/** The end of a call, and the first failure among its attempts that a later attempt made good. */
+type CallEnd = {
+    readonly result: UpstreamResult;
+    readonly maskedFailure: AttemptOutcome | undefined;
+};
+
 const nothingSent: CallResult = { result: { outcome: AttemptOutcome.Unreachable }, memberId: undefined };
 
 const hasAnswer = ({ result }: CallResult): boolean => "status" in result;
@@ -49,14 +55,16 @@
         this.startedMs = options.clock.monotonicMs();
     }
 
-    public async run(call: CallContext): Promise<CallResult> {
+    public async run(call: CallContext): Promise<CallEnd> {
         this.budgets.set(call.service, retryBudgets.onRequest(this.budgetOf(call)));
         const tried = new Set<string>();
+        let maskedFailure: AttemptOutcome | undefined;
         for (let attempts = 1;; attempts += 1) {
             const ended = await this.attemptWithHedge(call, tried, attempts);
             if (!this.mayRetry(call, ended, attempts)) {
-                return ended;
+                return { result: ended.result, maskedFailure };
             }
+            maskedFailure ??= ended.result.outcome;
             discard(ended);
             this.budgets.set(call.service, retryBudgets.spend(this.budgetOf(call)));
         }
--- a/src/proxy/CallerServer.ts
+++ b/src/proxy/CallerServer.ts
@@ -212,14 +212,15 @@
 
     /** Forwards the call and answers the caller. Returns how it ended, as evidence on the version. */
     private async forward(call: CallContext, response: ServerResponse): Promise<AttemptOutcome> {
-        const { result } = await this.options.runner.run(call);
+        const { maskedFailure, result } = await this.options.runner.run(call);
         if (!("status" in result)) {
             sendRefusal(response, refusals.ofOutcome(result.outcome));
             return result.outcome;
         }
         const whole = await relayAnswer(response, result);
         if (whole) {
-            return result.outcome;
+            // A retry spares the caller, but the version's failure still counts against it.
+            return maskedFailure ?? result.outcome;
         }
         return call.signal.aborted ? AttemptOutcome.Cancelled : AttemptOutcome.Broken;
     }
