--- /dev/null
+++ b/src/consensus/__tests__/ConsensusTask.test.ts
@@ -0,0 +1,96 @@
+import { RandomSource } from "../../core/RandomSource";
+import { ConsensusStatus } from "../ConsensusStatus";
+import { ConsensusTask } from "../ConsensusTask";
+import { Membership } from "../Membership";
+import { MemoryReplicaStore } from "../MemoryReplicaStore";
+import { ReplicaStore } from "../ReplicaStore";
+import { ReplicaTransport } from "../ReplicaTransport";
+import { Role } from "../Role";
+import { StateMachine } from "../StateMachine";
+
+class Sum extends StateMachine {
+    public total = 0;
+
+    public override apply(command: unknown): unknown {
+        this.total += Number(command);
+        return this.total;
+    }
+
+    public override takeSnapshot(): unknown {
+        return this.total;
+    }
+
+    public override restoreSnapshot(data: unknown): void {
+        this.total = Number(data ?? 0);
+    }
+}
+
+class Silence extends ReplicaTransport {
+    public override send(): void {}
+
+    public override follow(): void {}
+}
+
+class FailingStore extends MemoryReplicaStore {
+    public failing = false;
+
+    public override saveEntries(...details: Parameters<ReplicaStore["saveEntries"]>): Promise<void> {
+        return this.failing ? Promise.reject(new Error("no space left on device")) : super.saveEntries(...details);
+    }
+}
+
+const membership: Membership = { voters: [{ id: "a", address: "" }], learners: [] };
+const timings = { electionTimeoutMs: 20, heartbeatIntervalMs: 10, quorumCheckMs: 20 };
+
+const startTask = async (store: ReplicaStore, sum = new Sum(), snapshotEveryEntries = 1_000) => {
+    let leads: () => void = () => undefined;
+    let fails: (error: Error) => void = () => undefined;
+    const leading = new Promise<void>((resolve) => (leads = resolve));
+    const failure = new Promise<Error>((resolve) => (fails = resolve));
+    const task = new ConsensusTask({
+        id: "a",
+        firstMembership: membership,
+        store,
+        transport: new Silence(),
+        stateMachine: sum,
+        timings,
+        random: new RandomSource(1),
+        snapshotEveryEntries,
+        onChange: ({ commitIndex, role }: ConsensusStatus) => role === Role.Leader && commitIndex > 0 && leads(),
+        onFailure: (error) => fails(error),
+    });
+    await task.start();
+    await leading;
+    return { task, sum, failure };
+};
+
+describe("a consensus task", () => {
+    test("answers a proposal once it is applied", async () => {
+        const { sum, task } = await startTask(new MemoryReplicaStore());
+        await expect(task.propose(5)).resolves.toEqual({ kind: "applied", answer: 5 });
+        expect(sum.total).toBe(5);
+        await task.dispose();
+    });
+
+    test("replays nothing twice after a snapshot, whatever was applied meanwhile", async () => {
+        const store = new MemoryReplicaStore();
+        const { task } = await startTask(store, new Sum(), 3);
+        await Promise.all(Array.from({ length: 20 }, () => task.propose(1)));
+        await expect(task.readBarrier()).resolves.toMatchObject({ kind: "applied" });
+        await task.dispose();
+        const again = await startTask(store, new Sum(), 3);
+        await expect(again.task.propose(0)).resolves.toEqual({ kind: "applied", answer: 20 });
+        await again.task.dispose();
+    });
+
+    test("never acknowledges what its disk refused, and stops", async () => {
+        const store = new FailingStore();
+        const { failure, sum, task } = await startTask(store);
+        store.failing = true;
+        const outcome = task.propose(1);
+        await expect(failure).resolves.toMatchObject({ message: "no space left on device" });
+        await task.dispose();
+        await expect(outcome).resolves.toMatchObject({ kind: "unknown" });
+        expect(sum.total).toBe(0);
+    });
+});
