--- /dev/null
+++ b/src/distribution/__tests__/chooseParents.test.ts
@@ -0,0 +1,79 @@
+import { MemberRecord } from "../../membership/MemberRecord";
+import { MemberStatus } from "../../membership/MemberStatus";
+import { admitSubscription } from "../admitSubscription";
+import { chooseParents } from "../chooseParents";
+import { distributionTimings } from "../distributionTimings";
+import { SubscriptionAdmission } from "../SubscriptionAdmission";
+
+const member = (id: string, zone: string): MemberRecord => ({
+    id,
+    zone,
+    incarnation: 1,
+    sequence: 1,
+    status: MemberStatus.Alive,
+    peerAddress: `${id}:1`,
+    inboundAddress: `${id}:2`,
+    endpoints: [],
+});
+
+const zoneOf = (zone: string, count: number): readonly MemberRecord[] =>
+    Array.from({ length: count }, (_, index) => member(`${zone}-${index}`, zone));
+
+const controls = ["control-1:1", "control-2:1", "control-3:1"];
+
+const parentsOf = (ownId: string, ownZone: string, members: readonly MemberRecord[]): readonly string[] =>
+    chooseParents({ ownId, ownZone, members, controls });
+
+describe("the relay tree", () => {
+    const members = [...zoneOf("a", 353), ...zoneOf("b", 353)];
+    const relays = members.filter(({ id, zone }) => controls.includes(parentsOf(id, zone, members)[0]));
+
+    test("lets only a few relays of each zone ask control", () => {
+        expect(relays.filter(({ zone }) => zone === "a")).toHaveLength(8);
+        expect(relays.filter(({ zone }) => zone === "b")).toHaveLength(8);
+    });
+
+    test("spreads the others over the relays of their own zone", () => {
+        const counts = new Map<string, number>();
+        for (const { id, zone } of zoneOf("a", 353)) {
+            const [parent] = parentsOf(id, zone, members);
+            counts.set(parent, (counts.get(parent) ?? 0) + 1);
+        }
+        const children = relays.filter(({ zone }) => zone === "a").map(({ peerAddress }) =>
+            counts.get(peerAddress) ?? 0
+        );
+        expect(Math.max(...children)).toBeLessThan(90);
+        expect(Math.min(...children)).toBeGreaterThan(15);
+    });
+
+    test("moves only the children of a relay that is lost", () => {
+        const [lost] = relays;
+        const rest = members.filter(({ id }) => id !== lost.id);
+        const moved = rest.filter(({ id, zone }) => parentsOf(id, zone, members)[0] !== parentsOf(id, zone, rest)[0]);
+        const orphans = rest.filter(({ id, zone }) => parentsOf(id, zone, members)[0] === lost.peerAddress);
+        expect(orphans.length).toBeGreaterThan(0);
+        // One more may move: the member that becomes a relay in its place, and those that now prefer it.
+        expect(moved.length).toBeLessThan(orphans.length + 353 / 8 * 2);
+    });
+
+    test("never lets two relays wait for each other", () => {
+        const foreign = (zone: string): boolean =>
+            parentsOf(`${zone}-0`, zone, members).some((parent) => parent.startsWith(zone === "a" ? "b" : "a"));
+        expect([foreign("a"), foreign("b")]).toEqual([false, true]);
+    });
+});
+
+describe("admission of subscriptions", () => {
+    test("spreads a herd over the time that the parent needs", () => {
+        let admission: SubscriptionAdmission = { tokens: distributionTimings.subscriptionBurst, updatedAtMs: 0 };
+        const waits: number[] = [];
+        for (let child = 0; child < 300; child += 1) {
+            const result = admitSubscription(admission, 0, 0.5);
+            admission = result.admission;
+            waits.push(result.retryAfterMs);
+        }
+        expect(waits.filter((waitMs) => waitMs === 0)).toHaveLength(distributionTimings.subscriptionBurst);
+        expect(Math.max(...waits)).toBeGreaterThanOrEqual(900);
+        expect(admitSubscription(admission, 60_000, 0.5).retryAfterMs).toBe(0);
+    });
+});
--- /dev/null
+++ b/src/membership/__tests__/membership.test.ts
@@ -0,0 +1,122 @@
+import * as fc from "fast-check";
+import { chooseNeighbours } from "../chooseNeighbours";
+import { compareVersions } from "../compareVersions";
+import { MemberRecord } from "../MemberRecord";
+import { membershipChanges } from "../membershipChanges";
+import { MembershipState } from "../MembershipState";
+import { membershipTimings } from "../membershipTimings";
+import { MemberStatus } from "../MemberStatus";
+
+const record = (id: string, change: Partial<MemberRecord> = {}): MemberRecord => ({
+    id,
+    zone: "a",
+    incarnation: 1,
+    sequence: 1,
+    status: MemberStatus.Alive,
+    peerAddress: `${id}:1`,
+    inboundAddress: `${id}:2`,
+    endpoints: [],
+    ...change,
+});
+
+const create = (id = "self", change: Partial<MemberRecord> = {}): MembershipState =>
+    membershipChanges.create(record(id, change), 0);
+
+const merge = (state: MembershipState, ...records: readonly MemberRecord[]): MembershipState =>
+    membershipChanges.merge(state, records, 0).state;
+
+const statusOf = (state: MembershipState, id: string): MemberStatus | undefined => state.members.get(id)?.record.status;
+
+describe("the members", () => {
+    test("do not bring back one that has left, whatever late news says", () => {
+        const left = merge(create(), record("x", { sequence: 4, status: MemberStatus.Left }));
+        const later = merge(
+            left,
+            record("x", { sequence: 9 }),
+            record("x", { sequence: 9, status: MemberStatus.Suspect }),
+        );
+        expect(statusOf(later, "x")).toBe(MemberStatus.Left);
+        expect(statusOf(merge(later, record("x", { incarnation: 2 })), "x")).toBe(MemberStatus.Alive);
+    });
+
+    test("are suspected, then dead, unless they answer", () => {
+        const suspected = membershipChanges.suspect(merge(create(), record("x")), "x", 0).state;
+        const answered = merge(suspected, record("x", { sequence: 2 }));
+        const { deadAfterMs } = membershipTimings;
+        expect(statusOf(membershipChanges.expire(suspected, deadAfterMs - 1).state, "x")).toBe(MemberStatus.Suspect);
+        expect(statusOf(membershipChanges.expire(suspected, deadAfterMs).state, "x")).toBe(MemberStatus.Dead);
+        expect(statusOf(membershipChanges.expire(answered, deadAfterMs).state, "x")).toBe(MemberStatus.Alive);
+    });
+
+    test("of another zone are never judged dead: the zone may be cut off", () => {
+        const foreign = merge(create(), record("x", { zone: "b", status: MemberStatus.Suspect }));
+        const { state } = membershipChanges.expire(foreign, membershipTimings.deadAfterMs * 10);
+        expect(statusOf(state, "x")).toBe(MemberStatus.Suspect);
+    });
+
+    test("refute what is said of them wrongly, also after a restart with a clock that went back", () => {
+        const { news } = membershipChanges.merge(create(), [record("self", { status: MemberStatus.Dead })], 0);
+        expect(news).toMatchObject([{ id: "self", sequence: 2, status: MemberStatus.Alive }]);
+        const earlier = membershipChanges.merge(create(), [record("self", { incarnation: 50, sequence: 7 })], 0);
+        expect(earlier.news).toMatchObject([{ incarnation: 51, status: MemberStatus.Alive }]);
+    });
+
+    const arbitraryRecord = fc.record({
+        id: fc.constantFrom("x", "y", "z"),
+        incarnation: fc.integer({ min: 1, max: 3 }),
+        sequence: fc.integer({ min: 1, max: 3 }),
+        status: fc.constantFrom(MemberStatus.Alive, MemberStatus.Suspect, MemberStatus.Dead, MemberStatus.Left),
+    }).map(({ id, ...change }) => record(id, change));
+
+    test("agree whatever the order, loss and repetition of news, once they compare", () => {
+        fc.assert(
+            fc.property(fc.array(arbitraryRecord), fc.array(arbitraryRecord), (first, second) => {
+                let left = merge(create("p"), ...first, record("q"));
+                let right = merge(create("q"), ...second, record("p"));
+                const versionsOf = ({ members }: MembershipState) =>
+                    [...members.values()].map(({ record: { id, incarnation, sequence, status } }) => ({
+                        id,
+                        incarnation,
+                        sequence,
+                        status,
+                    }));
+                const toLeft = compareVersions(right, versionsOf(left)).toSend;
+                const toRight = compareVersions(left, versionsOf(right)).toSend;
+                left = merge(left, ...toLeft);
+                right = merge(right, ...toRight);
+                expect(left.digest).toBe(right.digest);
+            }),
+            { seed: 8, numRuns: 500 },
+        );
+    });
+});
+
+describe("the links", () => {
+    const zones = ["a", "b", "c"];
+    const ids = zones.flatMap((zone) => Array.from({ length: 120 }, (_, index) => ({ id: `${zone}${index}`, zone })));
+    const all = ids.map(({ id, zone }) => record(id, { zone }));
+    const linksOf = new Map(
+        ids.map(({ id, zone }) => [id, chooseNeighbours(merge(create(id, { zone }), ...all)).map((peer) => peer.id)]),
+    );
+
+    test("connect all members of all zones", () => {
+        const undirected = new Map(ids.map(({ id }) => [id, new Set<string>()]));
+        linksOf.forEach((peers, id) =>
+            peers.forEach((peer) => {
+                undirected.get(id)?.add(peer);
+                undirected.get(peer)?.add(id);
+            })
+        );
+        const reached = new Set(["a0"]);
+        for (const id of reached) {
+            undirected.get(id)?.forEach((peer) => reached.add(peer));
+        }
+        expect(reached.size).toBe(ids.length);
+    });
+
+    test("are few: only two members of a zone hold links to other zones", () => {
+        const gateways = [...linksOf].filter(([id, peers]) => peers.some((peer) => peer[0] !== id[0]));
+        expect(gateways).toHaveLength(zones.length * 2);
+        expect(Math.max(...[...linksOf.values()].map((peers) => peers.length))).toBeLessThanOrEqual(3 + zones.length);
+    });
+});
--- a/src/moves/judging.ts
+++ b/src/moves/judging.ts
@@ -18,6 +18,9 @@
 /** A request counts as slow beyond twice the bound that all but this share of the baseline keep. */
 const SLOW_SHARE = 0.05;
 
+/** A single batch of the baseline is small, so its share is taken this many standard deviations higher. */
+const CONCURRENT_DEVIATIONS = 2;
+
 /** Shifts of the share of harmed requests that the two sums are tuned to. */
 const SMALL_SHIFT = 0.08;
 const LARGE_SHIFT = 0.45;
@@ -79,20 +82,29 @@
     };
 };
 
+/** A share and its uncertainty, in standard deviations. */
+const upperShare = (harmed: number, requests: number, deviations: number): number => {
+    const share = Math.min(1, harmed / requests);
+    return share + deviations * Math.sqrt((share * (1 - share)) / requests);
+};
+
+/** What the baseline suffered in one batch. */
+type BaselineBatch = {
+    readonly requests: number;
+    readonly harm: Harm;
+};
+
 /** The share of harmed requests that the candidate may have: the baseline's, its uncertainty and the slack. */
 const allowedShare = (
     route: RouteJudgement,
-    batch: { readonly requests: number; readonly harm: Harm; } | undefined,
+    batch: BaselineBatch | undefined,
     name: SignalName,
     slack: number,
 ): number => {
-    const requests = route.baselineRequests + PRIOR_REQUESTS;
-    const lasting = (route.baselineHarm[name] + PRIOR_HARM) / requests;
+    const lasting = upperShare(route.baselineHarm[name] + PRIOR_HARM, route.baselineRequests + PRIOR_REQUESTS, 1);
     // What the baseline suffers in the same moment counts at once, so that a shared fault is not blamed on the candidate.
-    const concurrent = batch ? (batch.harm[name] + PRIOR_HARM) / (batch.requests + PRIOR_REQUESTS) : 0;
-    const share = Math.max(lasting, concurrent);
-    const uncertainty = Math.sqrt((share * (1 - share)) / requests);
-    return Math.min(MAXIMUM_SHARE - 0.01, share + uncertainty + slack);
+    const concurrent = batch ? upperShare(batch.harm[name], batch.requests, CONCURRENT_DEVIATIONS) : 0;
+    return Math.min(MAXIMUM_SHARE - 0.01, Math.max(lasting, concurrent) + slack);
 };
 
 const increase = (harmed: number, requests: number, allowed: number, shift: number): number => {
