--- a/src/distribution/ChildTask.ts
+++ b/src/distribution/ChildTask.ts
@@ -11,6 +11,7 @@
 import { distributionTimings } from "./distributionTimings";
 import { emptyResources } from "./emptyResources";
 import { Evidence } from "./Evidence";
+import { ParentCandidate } from "./ParentCandidate";
 import { resourceDigests } from "./resourceDigests";
 import { ResourceState } from "./ResourceState";
 import { ServiceReport } from "./ServiceReport";
@@ -23,24 +24,29 @@
     readonly network: PeerNetwork;
     readonly clock: Clock;
     readonly log: EventLog;
-    /** Peer addresses that may serve as parent, best first. */
-    readonly parents: () => readonly string[];
+    /** The processes that may serve as parent, best first. */
+    readonly parents: () => readonly ParentCandidate[];
     /** The configuration has changed. It is complete and checked. */
     readonly onChange: (state: ResourceState, changed: readonly string[]) => void;
     /** A new parent has been found: reports must start over. */
     readonly onParent: () => void;
 };
 
-type Parent = {
-    readonly address: string;
+type Parent = ParentCandidate & {
     readonly link: ReturnType<PeerNetwork["open"]>;
     readonly sinceMs: number;
 };
 
+/** A parent that could not be reached. */
+type AvoidedParent = {
+    readonly untilMs: number;
+    readonly failures: number;
+};
+
 /** Follows one parent: subscribes, takes in updates and changes the parent when it falls silent. */
 export class ChildTask implements Disposable {
     private readonly resources = new DisposableStore();
-    private readonly avoidUntilMs = new Map<string, number>();
+    private readonly avoided = new Map<string, AvoidedParent>();
     private services: readonly string[] = [];
     private state: ResourceState = emptyResources;
     private parent: Parent | undefined;
@@ -75,8 +81,11 @@
 
     /** Sends a report upwards. Returns false without an open parent. */
     public report(services: readonly ServiceReport[], evidence: readonly Evidence[]): boolean {
+        if (!this.parent?.takesReports) {
+            return false;
+        }
         const message: DistributionMessage = { kind: "report", services, evidence };
-        return (this.parent?.link.send(message) ?? 0) > 0;
+        return this.parent.link.send(message) > 0;
     }
 
     public dispose(): Promise<void> {
@@ -85,28 +94,55 @@
 
     private watchParent(): void {
         const nowMs = this.options.clock.monotonicMs();
-        const candidates = this.options.parents().filter((address) => (this.avoidUntilMs.get(address) ?? 0) <= nowMs);
-        const best = candidates.at(0);
+        const { parentTimeoutMs, reconsiderParentMs } = distributionTimings;
         if (!this.parent) {
-            this.follow(best, nowMs);
+            this.followBest(nowMs);
             return;
         }
-        const waitedMs = nowMs - this.parent.sinceMs;
-        if (this.openSinceMs === undefined && waitedMs >= distributionTimings.parentTimeoutMs) {
-            this.avoidUntilMs.set(this.parent.address, nowMs + distributionTimings.avoidParentMs);
-            this.follow(candidates.find((address) => address !== this.parent?.address) ?? best, nowMs);
+        if (this.openSinceMs === undefined) {
+            if (nowMs - this.parent.sinceMs >= parentTimeoutMs) {
+                this.giveUp(this.parent.address, nowMs);
+            }
             return;
         }
-        const due = nowMs - this.reconsideredAtMs >= distributionTimings.reconsiderParentMs;
-        if (due && best && best !== this.parent.address) {
-            this.reconsideredAtMs = nowMs;
+        if (nowMs - this.reconsideredAtMs < reconsiderParentMs) {
+            return;
+        }
+        this.reconsideredAtMs = nowMs;
+        if (this.candidates(nowMs).at(0)?.address !== this.parent.address) {
+            this.followBest(nowMs);
+        }
+    }
+
+    /** The processes that may serve as parent, without those that could not be reached lately. */
+    private candidates(nowMs: number): readonly ParentCandidate[] {
+        return this.options.parents().filter(({ address }) => (this.avoided.get(address)?.untilMs ?? 0) <= nowMs);
+    }
+
+    private followBest(nowMs: number): void {
+        const best = this.candidates(nowMs).at(0);
+        if (best) {
             this.follow(best, nowMs);
         }
     }
 
-    private follow(text: string | undefined, nowMs: number): void {
-        const address = text ? parseAddress(text) : undefined;
-        if (!text || !address || this.services.length === 0) {
+    /** Passes over a parent that can't be reached and goes on to the next. */
+    private giveUp(address: string, nowMs: number): void {
+        const { avoidParentLimitMs, avoidParentMs } = distributionTimings;
+        const failures = this.avoided.get(address)?.failures ?? 0;
+        const pauseMs = Math.min(avoidParentLimitMs, avoidParentMs * 2 ** failures);
+        this.avoided.set(address, { untilMs: nowMs + pauseMs, failures: failures + 1 });
+        if (this.parent?.address === address) {
+            this.parent.link.dispose();
+            this.parent = undefined;
+            this.openSinceMs = undefined;
+        }
+        this.followBest(nowMs);
+    }
+
+    private follow(candidate: ParentCandidate, nowMs: number): void {
+        const address = parseAddress(candidate.address);
+        if (!address || this.services.length === 0) {
             return;
         }
         this.parent?.link.dispose();
@@ -118,6 +154,7 @@
                     return;
                 }
                 this.openSinceMs = this.options.clock.monotonicMs();
+                this.avoided.delete(candidate.address);
                 this.options.log.info("parent-opened", { parent: identity });
                 this.subscribe();
                 this.options.onParent();
@@ -129,10 +166,15 @@
                 }
                 this.openSinceMs = undefined;
                 this.parent = { ...this.parent, sinceMs: this.options.clock.monotonicMs() };
-                this.options.log.warn("parent-closed", { parent: text });
+                this.options.log.warn("parent-closed", { parent: candidate.address });
+            },
+            onFailure: () => {
+                if (this.parent?.link === link) {
+                    this.giveUp(candidate.address, this.options.clock.monotonicMs());
+                }
             },
         });
-        this.parent = { address: text, link, sinceMs: nowMs };
+        this.parent = { ...candidate, link, sinceMs: nowMs };
     }
 
     private subscribe(): void {
--- a/src/distribution/__tests__/chooseParents.test.ts
+++ b/src/distribution/__tests__/chooseParents.test.ts
@@ -22,7 +22,9 @@
 const controls = ["control-1:1", "control-2:1", "control-3:1"];
 
 const parentsOf = (ownId: string, ownZone: string, members: readonly MemberRecord[]): readonly string[] =>
-    chooseParents({ ownId, ownZone, members, controls });
+    chooseParents({ ownId, ownZone, members, controls })
+        .filter(({ takesReports }) => takesReports)
+        .map(({ address }) => address);
 
 describe("the relay tree", () => {
     const members = [...zoneOf("a", 353), ...zoneOf("b", 353)];
--- a/src/emulator/Mesh.ts
+++ b/src/emulator/Mesh.ts
@@ -46,6 +46,8 @@
     readonly host: Port;
     readonly process: ManagedProcess;
     readonly backends: readonly StandInBackend[];
+    /** The events of this host's node over all its restarts. */
+    readonly history: () => readonly ReadonlyMap<string, string>[];
 };
 
 const pause = (delayMs: number): Promise<void> => new Promise((done) => setTimeout(done, delayMs));
@@ -149,7 +151,9 @@
     public async restartHost(id: string): Promise<void> {
         const index = this.hosts.findIndex((host) => host.id === id);
         const host = this.hosts[index];
-        this.hosts[index] = { ...host, process: this.spawnHost(host) };
+        const earlier = host.history();
+        const restarted = this.spawnHost(host);
+        this.hosts[index] = { ...host, process: restarted, history: () => [...earlier, ...restarted.history] };
         await this.connectHost(this.hosts[index]);
     }
 
@@ -303,10 +307,14 @@
                 host: await this.openPort(ip, false),
                 process: undefined as unknown as ManagedProcess,
                 backends: [],
+                history: () => [],
             };
             this.hosts.push(host);
         }
-        const started = this.hosts.map((host) => ({ ...host, process: this.spawnHost(host) }));
+        const started = this.hosts.map((host): Host => {
+            const managed = this.spawnHost(host);
+            return { ...host, process: managed, history: () => managed.history };
+        });
         this.hosts.splice(0, started.length, ...started);
         await Promise.all(this.hosts.map((host) => this.connectHost(host)));
         for (const { backends, id } of specifications) {
--- a/src/load/LoadResult.ts
+++ b/src/load/LoadResult.ts
@@ -20,6 +20,8 @@
     /** Successful answers in each second since the start. */
     readonly successesPerSecond: readonly number[];
     readonly failuresPerSecond: readonly number[];
+    /** Failed requests by what the caller was told. */
+    readonly failureReasons: Readonly<Record<string, number>>;
     /** Milliseconds since the start of the last failed answer of each backend version. */
     readonly lastFailureMs: Readonly<Record<string, number>>;
     readonly firstFailureMs: Readonly<Record<string, number>>;
--- a/src/load/LoadRunner.ts
+++ b/src/load/LoadRunner.ts
@@ -7,6 +7,7 @@
 
 const MICROSECONDS = 1_000;
 const MS_PER_SECOND = 1_000;
+const MAXIMUM_REASON_LENGTH = 160;
 const NO_VERSION = "none";
 
 const percentileMs = (histogram: Histogram, percentile: number): number =>
@@ -32,6 +33,7 @@
     private readonly failedByVersion = new Map<string, number>();
     private readonly firstFailure = new Map<string, number>();
     private readonly lastFailure = new Map<string, number>();
+    private readonly reasons = new Map<string, number>();
     private readonly successes: number[] = [];
     private readonly failures: number[] = [];
     private sent = 0;
@@ -101,7 +103,8 @@
             const text = await answer.body.text();
             this.note(intendedMs, answer.statusCode, answer.headers, text, requestId);
         }
-        catch {
+        catch (error) {
+            increment(this.reasons, `no answer: ${(error as Error).message}`);
             this.noteFailure(NO_VERSION, intendedMs);
             this.unknownOutcome += 1;
         }
@@ -128,6 +131,7 @@
             const notRun = headers[proxyHeaders.notRun] !== undefined;
             this.refusedNotRun += notRun ? 1 : 0;
             this.unknownOutcome += headers[proxyHeaders.outcome] === "unknown" ? 1 : 0;
+            increment(this.reasons, `${status} ${text.trim().slice(0, MAXIMUM_REASON_LENGTH)}`);
             return;
         }
         const echoed = (JSON.parse(text) as { readonly requestId?: string; }).requestId;
@@ -171,6 +175,7 @@
             },
             successesPerSecond: this.successes,
             failuresPerSecond: this.failures,
+            failureReasons: Object.fromEntries(this.reasons),
             firstFailureMs: Object.fromEntries(this.firstFailure),
             lastFailureMs: Object.fromEntries(this.lastFailure),
         };
--- a/src/load/StandInBackend.ts
+++ b/src/load/StandInBackend.ts
@@ -70,6 +70,11 @@
         return { requests, cancelled, shed, repeated, ranKeys: this.runsByKey.size };
     }
 
+    /** IP:PORT once it has started. */
+    public get boundAddress(): string {
+        return this.address ? `${this.address.host}:${this.address.port}` : "";
+    }
+
     public async start(): Promise<SocketAddress> {
         this.address = await listenHttp(this.server, this.options.listen);
         this.resources.every(ANNOUNCE_INTERVAL_MS, () => void this.announce());
--- a/src/transport/PeerLink.ts
+++ b/src/transport/PeerLink.ts
@@ -18,6 +18,8 @@
     readonly onMessage: (message: unknown) => void;
     readonly onBytes?: (count: number) => void;
     readonly onClose?: () => void;
+    /** An attempt to open the connection has failed. */
+    readonly onFailure?: () => void;
 };
 
 /** Keeps one connection to a peer open and reconnects with jittered back-off. Messages sent while closed are lost. */
@@ -63,6 +65,7 @@
             return;
         }
         if (!connection) {
+            this.options.onFailure?.();
             this.schedule(
                 backoffMs(this.attempt, RECONNECT_BASE_MS, RECONNECT_LIMIT_MS, this.options.random.fraction()),
             );
--- a/src/transport/PeerNetwork.ts
+++ b/src/transport/PeerNetwork.ts
@@ -27,6 +27,7 @@
     readonly onOpen?: (peerIdentity: string) => void;
     readonly onMessage: (body: unknown) => void;
     readonly onClose?: () => void;
+    readonly onFailure?: () => void;
 };
 
 /** Who this process is to its peers. */
@@ -90,6 +91,7 @@
             },
             onBytes: (count) => this.countReceived(count),
             onClose: handler.onClose,
+            onFailure: handler.onFailure,
         });
         this.resources.add(link);
         return {
