--- a/src/cli/AdminClient.ts
+++ b/src/cli/AdminClient.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import { pause } from "../core/pause";
 
 const REQUEST_TIMEOUT_MS = 8_000;
 const ROUNDS = 20;
@@ -28,8 +29,6 @@
 const NOT_LEADER = 421;
 const UNAVAILABLE = 503;
 
-const pause = (delayMs: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, delayMs));
-
 /**
  * Asks the control replicas until the leader answers. A call that changes something is resent only with its
  * idempotency key, so that it takes effect once.
--- /dev/null
+++ b/src/cli/addReadCommands.ts
@@ -0,0 +1,58 @@
+import { Command } from "commander";
+import { MoveOutcome } from "../catalogue/MoveOutcome";
+import { EntryStatus } from "../control/EntryStatus";
+import { pause } from "../core/pause";
+import { CliContext } from "./CliContext";
+import { describeEntries } from "./describeEntries";
+import { formatTable } from "./formatTable";
+
+const WATCH_INTERVAL_MS = 500;
+
+type StatusList = { readonly entries: readonly EntryStatus[]; };
+
+const describeHistory = (outcomes: readonly MoveOutcome[]): string =>
+    formatTable(
+        ["VERSION", "FROM", "RESULT", "ON TIME", "ENDED", "REASON"],
+        outcomes.map((outcome) => [
+            String(outcome.version),
+            String(outcome.fromVersion),
+            outcome.result,
+            outcome.onTime ? "yes" : "no",
+            new Date(outcome.endedAtMs).toISOString(),
+            outcome.reason,
+        ]),
+    );
+
+const showStatus = async (context: CliContext, service: string | undefined, watch: boolean): Promise<void> => {
+    const path = service ? context.pathOf(service, "/status") : "/v1/status";
+    const describe = (body: unknown): string =>
+        describeEntries(service ? [body as EntryStatus] : (body as StatusList).entries);
+    while (context.show(await context.call({ method: "GET", path }), describe) && watch) {
+        await pause(WATCH_INTERVAL_MS);
+    }
+};
+
+/** Adds the commands that read the catalogue. */
+export const addReadCommands = (program: Command, context: CliContext): void => {
+    program
+        .command("get <service>")
+        .description("show an entry as last accepted")
+        .action(async (service: string) => {
+            const answer = await context.call({ method: "GET", path: context.pathOf(service) });
+            context.show(answer, (body) => JSON.stringify(body, undefined, 2));
+        });
+    program
+        .command("status [service]")
+        .description("show where entries stand")
+        .option("--watch", "show it again every half second")
+        .action((service: string | undefined, { watch }: { readonly watch?: boolean; }) =>
+            showStatus(context, service, watch ?? false)
+        );
+    program
+        .command("history <service>")
+        .description("show how the moves of a service ended")
+        .action(async (service: string) => {
+            const answer = await context.call({ method: "GET", path: context.pathOf(service, "/history") });
+            context.show(answer, (body) => describeHistory(body as readonly MoveOutcome[]));
+        });
+};
--- a/src/emulator/Mesh.ts
+++ b/src/emulator/Mesh.ts
@@ -3,6 +3,7 @@
 import { join, resolve } from "node:path";
 import { AdminClient } from "../cli/AdminClient";
 import { Disposable } from "../core/Disposable";
+import { pause } from "../core/pause";
 import { RandomSource } from "../core/RandomSource";
 import { FaultPlan } from "../load/FaultPlan";
 import { noFault } from "../load/noFault";
@@ -50,8 +51,6 @@
     readonly history: () => readonly ReadonlyMap<string, string>[];
 };
 
-const pause = (delayMs: number): Promise<void> => new Promise((done) => setTimeout(done, delayMs));
-
 const freePort = (host: string): Promise<number> =>
     new Promise((done, fail) => {
         const server = createServer();
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -3,6 +3,7 @@
 import { EventLog } from "../core/EventLog";
 import { hashFraction } from "../core/hashFraction";
 import { HybridClock } from "../core/HybridClock";
+import { pause } from "../core/pause";
 import { RandomSource } from "../core/RandomSource";
 import { SystemClock } from "../core/SystemClock";
 import { ChildTask } from "../distribution/ChildTask";
@@ -62,8 +63,6 @@
 const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
 const addressText = ({ host, port }: SocketAddress): string => `${host}:${port}`;
 const splitList = (text: string): readonly string[] => text.split(",").filter(Boolean);
-const pause = (delayMs: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, delayMs));
-
 /** Wires a node and starts it. `onDrain` is called when an operator drains the host. */
 export const createNode = async (settings: NodeSettings, onDrain: () => void): Promise<Node> => {
     const resources = new DisposableStore();
--- /dev/null
+++ b/src/proxy/__tests__/callPath.test.ts
@@ -0,0 +1,294 @@
+import { createServer, IncomingMessage, request, Server, ServerResponse } from "node:http";
+import { connect } from "node:net";
+import { sampleEntry } from "../../catalogue/__tests__/sampleEntry";
+import { ServiceClass } from "../../catalogue/ServiceClass";
+import { ServiceContent } from "../../catalogue/ServiceContent";
+import { DisposableStore } from "../../core/DisposableStore";
+import { RandomSource } from "../../core/RandomSource";
+import { SystemClock } from "../../core/SystemClock";
+import { EndpointState } from "../../membership/EndpointState";
+import { listenHttp } from "../../transport/listenHttp";
+import { SocketAddress } from "../../transport/SocketAddress";
+import { CallerServer } from "../CallerServer";
+import { CallRunner } from "../CallRunner";
+import { CandidateGuard } from "../CandidateGuard";
+import { EndpointTracker } from "../EndpointTracker";
+import { EvidenceRecorder } from "../EvidenceRecorder";
+import { InboundServer } from "../InboundServer";
+import { proxyHeaders } from "../proxyHeaders";
+import { UpstreamClient } from "../UpstreamClient";
+
+type Answer = {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+    readonly whole: boolean;
+};
+
+type Sent = {
+    readonly method?: string;
+    readonly path?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: Buffer;
+};
+
+const freePort = { host: "127.0.0.1", port: 0 };
+const text = ({ host, port }: SocketAddress): string => `${host}:${port}`;
+const [readRoute] = sampleEntry().content.routes;
+
+const content = sampleEntry({
+    routes: [
+        { ...readRoute, maximumRetries: 2 },
+        { ...readRoute, name: "orders", method: "POST", pathPrefix: "/orders", idempotent: false, maximumRetries: 0 },
+        { ...readRoute, name: "uploads", method: "PUT", pathPrefix: "/uploads", timeoutMs: 5_000, maximumRetries: 0 },
+    ],
+}).content;
+
+describe("the call path", () => {
+    let resources = new DisposableStore();
+
+    beforeEach(() => {
+        resources = new DisposableStore();
+    });
+
+    afterEach(() => resources.dispose());
+
+    const startBackend = async (
+        handle: (incoming: IncomingMessage, response: ServerResponse) => void,
+    ): Promise<string> => {
+        const server: Server = createServer(handle);
+        resources.add({ dispose: () => server.closeAllConnections() });
+        resources.add({ dispose: () => void server.close() });
+        return text(await listenHttp(server, freePort));
+    };
+
+    const startInbound = async (backendAddress: string, slots = 12): Promise<string> => {
+        const clock = new SystemClock();
+        const upstream = resources.add(new UpstreamClient());
+        const backend = {
+            service: "map",
+            backendVersion: "v1",
+            slots,
+            state: EndpointState.Ready,
+            address: backendAddress,
+            renewedAtMs: 0,
+            drainingSinceMs: undefined,
+        };
+        const inbound = resources.add(
+            new InboundServer({ clock, upstream, backend: (key) => (key === "map/v1" ? backend : undefined) }),
+        );
+        return text(await inbound.listen(freePort));
+    };
+
+    const startCaller = async (
+        inboundAddresses: readonly string[],
+        used: ServiceContent = content,
+    ): Promise<SocketAddress> => {
+        const clock = new SystemClock();
+        const random = new RandomSource(1);
+        const upstream = resources.add(new UpstreamClient());
+        const targets = inboundAddresses.map((inboundAddress) => ({
+            memberId: inboundAddress,
+            zone: "a",
+            inboundAddress,
+            slots: 12,
+            suspect: false,
+        }));
+        const routing = {
+            service: "map",
+            revision: 1,
+            class: ServiceClass.Standard,
+            stable: { version: 1, content: used },
+            candidate: undefined,
+        };
+        const caller = resources.add(
+            new CallerServer({
+                nodeId: "node",
+                clock,
+                random,
+                table: () => new Map([["map", routing]]),
+                proxyFraction: () => 0,
+                guard: new CandidateGuard(() => undefined),
+                recorder: new EvidenceRecorder(),
+                runner: new CallRunner({
+                    clock,
+                    random,
+                    ownZone: "a",
+                    upstream,
+                    tracker: new EndpointTracker(),
+                    endpoints: () => new Map([["map/v1", targets]]),
+                }),
+            }),
+        );
+        return caller.listen(freePort);
+    };
+
+    const send = (
+        { host, port }: SocketAddress,
+        { body, headers, method = "GET", path = "/" }: Sent,
+    ): Promise<Answer> =>
+        new Promise((resolve, reject) => {
+            const sent = request({
+                host,
+                port,
+                method,
+                path,
+                agent: false,
+                headers: { [proxyHeaders.service]: "map", ...headers },
+            }, (answer) => {
+                const chunks: Buffer[] = [];
+                const finish = (): void =>
+                    resolve({
+                        status: answer.statusCode ?? 0,
+                        headers: answer.headers,
+                        body: Buffer.concat(chunks).toString(),
+                        whole: answer.complete,
+                    });
+                answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+                answer.on("close", finish);
+                answer.on("error", () => undefined);
+            });
+            sent.on("error", reject);
+            sent.end(body);
+        });
+
+    test("gives each of many concurrent callers the whole answer to its own request, in whatever order they end", async () => {
+        const backend = await startBackend((incoming, response) => {
+            const number = Number(incoming.url?.slice(1));
+            setTimeout(() => response.end(`${number}:`.repeat(2_000)), (number * 7) % 23);
+        });
+        const caller = await startCaller([await startInbound(backend, 100)]);
+        const answers = await Promise.all(
+            Array.from({ length: 60 }, (_, number) => send(caller, { path: `/${number}` })),
+        );
+        answers.forEach(({ body }, number) => expect(body).toBe(`${number}:`.repeat(2_000)));
+    });
+
+    test("streams a large body both ways unchanged", async () => {
+        const backend = await startBackend((incoming, response) => void incoming.pipe(response));
+        const caller = await startCaller([await startInbound(backend)]);
+        const body = Buffer.alloc(5_000_000, "0123456789");
+        const answer = await send(caller, { method: "PUT", path: "/uploads", body });
+        expect(answer.body === body.toString()).toBe(true);
+    });
+
+    test("never passes a part of an answer for the whole", async () => {
+        const backend = await startBackend((_, response) => {
+            response.write("half");
+            setTimeout(() => response.destroy(), 20);
+        });
+        const caller = await startCaller([await startInbound(backend)]);
+        expect((await send(caller, {})).whole).toBe(false);
+    });
+
+    test("runs an order once although its connection breaks, and says that the outcome is unknown", async () => {
+        let runs = 0;
+        const backend = await startBackend((incoming) => {
+            runs += 1;
+            incoming.socket.destroy();
+        });
+        const inbounds = [await startInbound(backend), await startInbound(backend)];
+        const answer = await send(await startCaller(inbounds), {
+            method: "POST",
+            path: "/orders",
+            body: Buffer.from("{}"),
+        });
+        expect({ runs, status: answer.status, outcome: answer.headers[proxyHeaders.outcome] }).toEqual({
+            runs: 1,
+            status: 502,
+            outcome: "unknown",
+        });
+    });
+
+    test("answers at the deadline that the outcome is unknown, and cancels the work", async () => {
+        let cancelled: () => void = () => undefined;
+        const wasCancelled = new Promise<void>((resolve) => (cancelled = resolve));
+        const backend = await startBackend((_, response) => void response.once("close", cancelled));
+        const caller = await startCaller([await startInbound(backend)]);
+        const headers = { [proxyHeaders.deadlineMs]: "80" };
+        const answer = await send(caller, { method: "POST", path: "/orders", headers, body: Buffer.from("{}") });
+        expect(answer).toMatchObject({ status: 504, headers: { [proxyHeaders.outcome]: "unknown" } });
+        await wasCancelled;
+    });
+
+    test("says not-run, and when to come back, only when no backend server saw the request", async () => {
+        let runs = 0;
+        const backend = await startBackend((_, response) => {
+            runs += 1;
+            setTimeout(() => response.end("done"), 100);
+        });
+        const caller = await startCaller([await startInbound(backend, 1)]);
+        const answers = await Promise.all(
+            Array.from(
+                { length: 20 },
+                () => send(caller, { method: "POST", path: "/orders", body: Buffer.from("{}") }),
+            ),
+        );
+        const refused = answers.filter(({ headers }) => headers[proxyHeaders.notRun] !== undefined);
+        expect(refused.length).toBeGreaterThan(0);
+        expect(runs).toBe(answers.length - refused.length);
+        refused.forEach(({ headers, status }) => {
+            expect(status).toBe(503);
+            expect(Number(headers["retry-after"])).toBeGreaterThanOrEqual(1);
+        });
+    });
+
+    test("sends an order elsewhere when a host can't be reached, since it did not run there", async () => {
+        const backend = await startBackend((_, response) => void response.end("done"));
+        const caller = await startCaller(["127.0.0.1:1", await startInbound(backend)]);
+        const answers = await Promise.all(
+            Array.from({ length: 5 }, () => send(caller, { method: "POST", path: "/orders", body: Buffer.from("{}") })),
+        );
+        expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200, 200]);
+    });
+
+    test("hedges a slow read with a second copy and takes the first good answer", async () => {
+        const slow = await startBackend(() => undefined);
+        const fast = await startBackend((_, response) => void response.end("fast"));
+        const hedged = sampleEntry({ routes: [{ ...readRoute, timeoutMs: 5_000, hedgeAfterMs: 20 }] }).content;
+        const caller = await startCaller([await startInbound(slow), await startInbound(fast)], hedged);
+        for (let call = 0; call < 6; call += 1) {
+            expect((await send(caller, {})).body).toBe("fast");
+        }
+    });
+
+    test("passes on no header that a connection header names", async () => {
+        const backend = await startBackend((incoming, response) => void response.end(JSON.stringify(incoming.headers)));
+        const caller = await startCaller([await startInbound(backend)]);
+        const answer = await send(caller, {
+            headers: { connection: "close, x-secret", "x-secret": "1", "x-kept": "1" },
+        });
+        expect(JSON.parse(answer.body)).toMatchObject({ "x-kept": "1" });
+        expect(JSON.parse(answer.body)).not.toHaveProperty("x-secret");
+    });
+
+    test("refuses a request whose lengths conflict before it reaches a backend server", async () => {
+        let runs = 0;
+        const backend = await startBackend((_, response) => {
+            runs += 1;
+            response.end();
+        });
+        const { host, port } = await startCaller([await startInbound(backend)]);
+        const smuggled = [
+            "POST /orders HTTP/1.1",
+            "host: map",
+            "content-length: 4",
+            "transfer-encoding: chunked",
+            "",
+            "0",
+            "",
+            "POST /orders HTTP/1.1",
+            "host: map",
+            "",
+            "",
+        ].join("\r\n");
+        const answer = await new Promise<string>((resolve) => {
+            const socket = connect({ host, port }, () => void socket.write(smuggled));
+            let received = "";
+            socket.on("data", (chunk) => (received += String(chunk)));
+            socket.on("close", () => resolve(received));
+        });
+        expect(answer).toMatch(/^HTTP\/1.1 400/);
+        expect(runs).toBe(0);
+    });
+});
