Add the bench; build no abort error for an answered call

Cause: a profile of a node at 1,000 calls/s showed 641 ms of 9.4 s busy time in building DOMExceptions: the response's close event aborted the call's controller, and pipeline from node:stream aborts one of its own, for every whole answer. Also two hosts of the bench failed to start: a reserved port was given out twice.

--- /dev/null
+++ b/src/bench/LatencyReport.ts
@@ -0,0 +1,10 @@
+/** What the system adds to a call at one rate, against a direct call in the same run. */
+export type LatencyReport = {
+    readonly requestsPerSecond: number;
+    readonly directP50Ms: number;
+    readonly directP99Ms: number;
+    readonly throughP50Ms: number;
+    readonly throughP99Ms: number;
+    readonly addedP50Ms: number;
+    readonly addedP99Ms: number;
+};
--- /dev/null
+++ b/src/bench/percentile.ts
@@ -0,0 +1,5 @@
+/** The value below which the given share of the samples lies, or undefined without samples. */
+export const percentile = (samples: readonly number[], share: number): number | undefined => {
+    const sorted = [...samples].sort((left, right) => left - right);
+    return sorted.at(Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1));
+};
--- /dev/null
+++ b/src/bench/summarizeBench.ts
@@ -0,0 +1,79 @@
+import { MoveResult } from "../catalogue/MoveResult";
+import { LatencyReport } from "./LatencyReport";
+import { Measure } from "./Measure";
+import { MovesReport } from "./MovesReport";
+import { OverloadReport } from "./OverloadReport";
+import { percentile } from "./percentile";
+
+const PERCENT = 100;
+
+const atMost = (name: string, value: number | undefined, unit: string, limit: number): Measure => ({
+    name,
+    value,
+    unit,
+    target: `at most ${limit}`,
+    met: value === undefined ? undefined : value <= limit,
+});
+
+const atLeast = (name: string, value: number | undefined, unit: string, limit: number): Measure => ({
+    name,
+    value,
+    unit,
+    target: `at least ${limit}`,
+    met: value === undefined ? undefined : value >= limit,
+});
+
+const untargeted = (name: string, value: number | undefined, unit: string): Measure => ({
+    name,
+    value,
+    unit,
+    target: "reported",
+    met: undefined,
+});
+
+const shareOf = <Item>(items: readonly Item[], passes: (item: Item) => boolean): number | undefined =>
+    items.length === 0 ? undefined : (items.filter(passes).length / items.length) * PERCENT;
+
+const summarizeMoves = (report: MovesReport): readonly Measure[] => {
+    const good = report.moves.filter(({ bad }) => bad === undefined);
+    const bad = report.moves.filter((move) => move.bad !== undefined);
+    const faultToZero = bad.flatMap(({ faultToZeroMs }) => faultToZeroMs ?? []);
+    const worstHarm = Math.max(0, ...bad.map(({ harmed, requestsDuring }) => (harmed / requestsDuring) * PERCENT));
+    const wronglyTaken = shareOf(good, ({ result }) => result === MoveResult.TakenBack);
+    return [
+        untargeted("convergence p50", percentile(report.convergenceMs, 0.5), "ms"),
+        atMost("convergence p99", percentile(report.convergenceMs, 0.99), "ms", 12_000),
+        atMost("convergence maximum", percentile(report.convergenceMs, 1), "ms", 12_000),
+        atMost("control bytes of a node, moving", report.nodeBytesPerSecond, "B/s", 29_000),
+        untargeted("control bytes of a node, idle", report.idleNodeBytesPerSecond, "B/s"),
+        untargeted("control bytes of a node for a change", report.bytesPerChange, "B"),
+        atLeast("good versions finished on time", shareOf(good, ({ onTime }) => onTime), "%", 99),
+        atMost("good versions taken back", wronglyTaken, "%", 1),
+        atLeast("bad versions taken back", shareOf(bad, ({ result }) => result === MoveResult.TakenBack), "%", PERCENT),
+        atMost("first fault to no traffic, worst", percentile(faultToZero, 1), "ms", 3_000),
+        untargeted("callers harmed by a bad version, worst", worstHarm, "%"),
+        untargeted("requests failed in the whole run", (report.load.failed / report.load.sent) * PERCENT, "%"),
+        atMost("proxies that went back", report.wentBack, "times", 0),
+        atMost("orders that ran twice", report.repeated, "orders", 0),
+        atMost("answers to the wrong caller", report.load.misdelivered, "answers", 0),
+    ];
+};
+
+const summarizeOverload = (reports: readonly OverloadReport[]): readonly Measure[] => {
+    const [normal, ...overloads] = reports;
+    return overloads.map(({ factor, goodputPerSecond }) =>
+        atLeast(`goodput at ${factor}x of that at 1x`, (goodputPerSecond / normal.goodputPerSecond) * PERCENT, "%", 90)
+    );
+};
+
+const summarizeLatency = (reports: readonly LatencyReport[]): readonly Measure[] =>
+    reports.map(({ addedP99Ms, requestsPerSecond }) =>
+        atMost(`added latency p99 at ${requestsPerSecond}/s`, addedP99Ms, "ms", 0.34)
+    );
+
+/** Holds every figure against its target. */
+export const summarizeBench = (
+    moves: MovesReport,
+    overload: readonly OverloadReport[],
+    latency: readonly LatencyReport[],
+): readonly Measure[] => [...summarizeMoves(moves), ...summarizeOverload(overload), ...summarizeLatency(latency)];
--- /dev/null
+++ b/src/bin/bench.ts
@@ -0,0 +1,135 @@
+import { Command } from "commander";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { BadKind } from "../bench/BadKind";
+import { benchHosts } from "../bench/benchHosts";
+import { BenchReport } from "../bench/BenchReport";
+import { FaultKind } from "../bench/FaultKind";
+import { Firm } from "../bench/Firm";
+import { firms } from "../bench/firms";
+import { LatencyExperiment } from "../bench/LatencyExperiment";
+import { Measure } from "../bench/Measure";
+import { MoveExperiment } from "../bench/MoveExperiment";
+import { OverloadExperiment } from "../bench/OverloadExperiment";
+import { renderBenchPage } from "../bench/renderBenchPage";
+import { summarizeBench } from "../bench/summarizeBench";
+import { formatTable } from "../cli/formatTable";
+import { Mesh } from "../emulator/Mesh";
+import { runProgram } from "../process/runProgram";
+
+type Options = {
+    readonly firm: Firm["name"];
+    readonly seed: string;
+    readonly faults: string;
+    readonly output?: string;
+    readonly only: string;
+    readonly rounds: string;
+};
+
+/** A good version after every bad one. */
+const PLAN: readonly (BadKind | undefined)[] = [
+    undefined,
+    BadKind.Fails,
+    undefined,
+    BadKind.FailsLater,
+    undefined,
+    BadKind.Slow,
+    undefined,
+    BadKind.OneRoute,
+    undefined,
+    BadKind.UnderLoad,
+];
+
+const inMesh = async <Result>(
+    firm: Firm,
+    seed: number,
+    withFaults: boolean,
+    latencyMs: number | undefined,
+    experiment: (mesh: Mesh) => Promise<Result>,
+): Promise<Result> => {
+    const folder = await mkdtemp(join(tmpdir(), "filbertdeal-bench-"));
+    const services = [firm.service, firm.otherService];
+    const mesh = await Mesh.start({
+        controls: 3,
+        hosts: benchHosts(firm, latencyMs),
+        services,
+        folder,
+        seed,
+        withFaults,
+    });
+    try {
+        return await experiment(mesh);
+    }
+    finally {
+        await mesh.dispose();
+        await rm(folder, { recursive: true, force: true });
+    }
+};
+
+const parseFaults = (text: string): readonly FaultKind[] =>
+    text.split(",").filter(Boolean).map((name) => {
+        const kind = Object.values(FaultKind).find((known) => known === name);
+        if (!kind) {
+            throw new Error(`there is no fault ${name}; choose of ${Object.values(FaultKind).join(", ")}`);
+        }
+        return kind;
+    });
+
+const describe = ({ met, name, target, unit, value }: Measure): readonly string[] => [
+    name,
+    value === undefined ? "-" : `${value.toFixed(2)} ${unit}`,
+    target,
+    met === undefined ? "" : met ? "met" : "NOT MET",
+];
+
+const run = async (options: Options): Promise<BenchReport> => {
+    const firm = firms[options.firm];
+    const seed = Number(options.seed);
+    const faults = parseFaults(options.faults);
+    const plan = Array.from({ length: Number(options.rounds) }, () => PLAN).flat();
+    const startedAt = new Date().toISOString();
+    const wanted = (name: string): boolean => options.only === "" || options.only.split(",").includes(name);
+    const moves = await inMesh(
+        firm,
+        seed,
+        faults.length > 0,
+        undefined,
+        (mesh) => new MoveExperiment(mesh, firm, faults, seed).run(wanted("moves") ? plan : []),
+    );
+    const overload = wanted("overload")
+        ? await inMesh(
+            firm,
+            seed,
+            false,
+            firm.overloadLatencyMs,
+            (mesh) => new OverloadExperiment(mesh, firm, seed).run(),
+        )
+        : [];
+    const latency = wanted("latency")
+        ? await inMesh(firm, seed, false, undefined, (mesh) => new LatencyExperiment(mesh, firm, seed).run())
+        : [];
+    const measures = summarizeBench(moves, overload, latency);
+    return { firm: firm.name, seed, faults, startedAt, measures, moves, overload, latency };
+};
+
+runProgram(async () => {
+    const program = new Command("bench")
+        .description("Measures moves, overload and added latency on an emulated mesh of a firm's size.")
+        .option("--firm <name>", "lipa or bursa", "lipa")
+        .option("--seed <number>", "seed of the load and the fault schedule; 900 to 999 are held out from tuning", "1")
+        .option("--faults <kind,...>", `any of ${Object.values(FaultKind).join(", ")}`, "")
+        .option("--rounds <number>", "how often the plan of ten moves is run", "1")
+        .option("--only <name,...>", "moves, overload, latency; all by default", "")
+        .option("--output <file>", "write the report as JSON to this file, and as a page beside it");
+    program.parse();
+    const options = program.opts<Options>();
+    const report = await run(options);
+    process.stdout.write(`firm ${report.firm}, seed ${report.seed}, faults ${options.faults || "none"}\n`);
+    process.stdout.write(`${formatTable(["MEASURE", "FIGURE", "TARGET", ""], report.measures.map(describe))}\n`);
+    if (options.output) {
+        await writeFile(options.output, JSON.stringify(report, undefined, 2));
+        await writeFile(options.output.replace(/(\.json)?$/, ".html"), renderBenchPage(report));
+    }
+    process.exit(0);
+});
--- a/src/emulator/Mesh.ts
+++ b/src/emulator/Mesh.ts
@@ -9,7 +9,6 @@
 import { noFault } from "../load/noFault";
 import { StandInBackend } from "../load/StandInBackend";
 import { parseAddress } from "../transport/parseAddress";
-import { SocketAddress } from "../transport/SocketAddress";
 import { FaultProxy } from "./FaultProxy";
 import { ManagedProcess } from "./ManagedProcess";
 import { MeshSpecification } from "./MeshSpecification";
@@ -35,8 +34,12 @@
     readonly admin: Port;
     readonly dataFolder: string;
     readonly process: ManagedProcess;
+    /** The events of this replica over all its restarts. */
+    readonly history: () => readonly LogEvent[];
 };
 
+type LogEvent = ReadonlyMap<string, string>;
+
 type Host = {
     readonly id: string;
     readonly zone: string;
@@ -48,7 +51,7 @@
     readonly process: ManagedProcess;
     readonly backends: readonly StandInBackend[];
     /** The events of this host's node over all its restarts. */
-    readonly history: () => readonly ReadonlyMap<string, string>[];
+    readonly history: () => readonly LogEvent[];
 };
 
 const freePort = (host: string): Promise<number> =>
@@ -70,6 +73,7 @@
     public readonly hosts: Host[] = [];
     private readonly network: number;
     private readonly zones: readonly string[];
+    private readonly started: StandInBackend[] = [];
     private starts = 0;
 
     private constructor(public readonly specification: MeshSpecification) {
@@ -98,6 +102,11 @@
         return this.hosts.map(({ caller }) => caller.advertised);
     }
 
+    /** Every backend server that was ever started, also those that were stopped. */
+    public get allBackends(): readonly StandInBackend[] {
+        return this.started;
+    }
+
     public get logFolder(): string {
         return this.specification.folder;
     }
@@ -134,17 +143,24 @@
     public async startReplica(id: string, join = false): Promise<void> {
         const index = this.replicas.findIndex((replica) => replica.id === id);
         const replica = this.replicas[index];
-        this.replicas[index] = { ...replica, process: this.spawnReplica(replica, join) };
-        await this.connectReplica(this.replicas[index]);
+        const earlier = replica.history();
+        const restarted = this.spawnReplica(replica, join);
+        this.replicas[index] = {
+            ...replica,
+            process: restarted,
+            history: () => [...earlier, ...restarted.history],
+        };
+        await this.connectReplica(id);
     }
 
     /** Adds a replica that an operator must then add to the group. */
     public async addReplica(id: string): Promise<Replica> {
         const replica = await this.prepareReplica(id, this.replicas.length + 1);
-        const started = { ...replica, process: this.spawnReplica(replica, true) };
+        const managed = this.spawnReplica(replica, true);
+        const started = { ...replica, process: managed, history: () => managed.history };
         this.replicas.push(started);
-        await this.connectReplica(started);
-        return started;
+        await this.connectReplica(id);
+        return this.replicas[this.replicas.length - 1];
     }
 
     public async restartHost(id: string): Promise<void> {
@@ -153,7 +169,7 @@
         const earlier = host.history();
         const restarted = this.spawnHost(host);
         this.hosts[index] = { ...host, process: restarted, history: () => [...earlier, ...restarted.history] };
-        await this.connectHost(this.hosts[index]);
+        await this.connectHost(id);
     }
 
     public hostOf(id: string): Host {
@@ -202,6 +218,7 @@
         });
         await backend.start();
         this.hosts[index] = { ...host, backends: [...host.backends, backend] };
+        this.started.push(backend);
         return backend;
     }
 
@@ -229,7 +246,7 @@
         await Promise.all(running.filter(({ isRunning }) => isRunning).map((managed) => managed.end("SIGKILL")));
         const ports = [
             ...this.replicas.flatMap(({ admin, peer }) => [admin, peer]),
-            ...this.hosts.flatMap(({ inbound, peer }) => [inbound, peer]),
+            ...this.hosts.flatMap(({ caller, host, inbound, peer }) => [caller, host, inbound, peer]),
         ];
         await Promise.all(ports.map(({ proxy }) => proxy?.dispose()));
     }
@@ -238,34 +255,41 @@
         return `127.${this.network}.${this.zones.indexOf(zone) + 1}.`;
     }
 
-    /** With faults the process takes a free port and the proxy has the address that others use. */
-    private async openPort(ip: string, withFaults: boolean): Promise<Port> {
-        if (!withFaults) {
-            const address = `${ip}:${await freePort(ip)}`;
-            return { listen: address, advertised: address, proxy: undefined };
+    /**
+     * With faults the process takes a free port and the proxy has the address that others use, also after a restart.
+     * Without, a port that others must know beforehand is reserved; any other is known once the process has started.
+     */
+    private async openPort(ip: string, reserve: boolean): Promise<Port> {
+        if (this.specification.withFaults) {
+            const proxy = new FaultProxy();
+            const { host, port } = await proxy.listen(ip);
+            return { listen: `${ip}:0`, advertised: `${host}:${port}`, proxy };
         }
-        const proxy = new FaultProxy();
-        const { host, port } = await proxy.listen(ip);
-        return { listen: `${ip}:0`, advertised: `${host}:${port}`, proxy };
+        const address = `${ip}:${reserve ? await freePort(ip) : 0}`;
+        return { listen: address, advertised: address, proxy: undefined };
     }
 
     private async startReplicas(): Promise<void> {
         for (let index = 1; index <= this.specification.controls; index += 1) {
             this.replicas.push(await this.prepareReplica(`control-${index}`, index));
         }
-        const started = this.replicas.map((replica) => ({ ...replica, process: this.spawnReplica(replica, false) }));
+        const started = this.replicas.map((replica) => {
+            const managed = this.spawnReplica(replica, false);
+            return { ...replica, process: managed, history: () => managed.history };
+        });
         this.replicas.splice(0, started.length, ...started);
-        await Promise.all(this.replicas.map((replica) => this.connectReplica(replica)));
+        await Promise.all(this.replicas.map(({ id }) => this.connectReplica(id)));
     }
 
     private async prepareReplica(id: string, index: number): Promise<Replica> {
         const ip = `127.${this.network}.0.${index}`;
         return {
             id,
-            peer: await this.openPort(ip, this.specification.withFaults),
-            admin: await this.openPort(ip, this.specification.withFaults),
+            peer: await this.openPort(ip, true),
+            admin: await this.openPort(ip, false),
             dataFolder: join(this.specification.folder, `data-${id}`),
             process: undefined as unknown as ManagedProcess,
+            history: () => [],
         };
     }
 
@@ -286,22 +310,26 @@
         ]);
     }
 
-    private async connectReplica({ admin, peer, process: managed }: Replica): Promise<void> {
-        const event = await managed.waitFor("control-started");
-        this.connect(peer, event.get("peerAddress"));
-        this.connect(admin, event.get("adminAddress"));
+    private async connectReplica(id: string): Promise<void> {
+        const index = this.replicas.findIndex((replica) => replica.id === id);
+        const event = await this.replicas[index].process.waitFor("control-started");
+        const replica = this.replicas[index];
+        this.replicas[index] = {
+            ...replica,
+            peer: this.connect(replica.peer, event.get("peerAddress")),
+            admin: this.connect(replica.admin, event.get("adminAddress")),
+        };
     }
 
     private async startHosts(specifications: readonly HostSpecification[]): Promise<void> {
         for (const [index, { id, zone }] of specifications.entries()) {
             const ip = `${this.zonePrefix(zone)}${index + 1}`;
-            const { withFaults } = this.specification;
             const host: Host = {
                 id,
                 zone,
                 ip,
-                peer: await this.openPort(ip, withFaults),
-                inbound: await this.openPort(ip, withFaults),
+                peer: await this.openPort(ip, true),
+                inbound: await this.openPort(ip, false),
                 caller: await this.openPort(ip, false),
                 host: await this.openPort(ip, false),
                 process: undefined as unknown as ManagedProcess,
@@ -315,7 +343,7 @@
             return { ...host, process: managed, history: () => managed.history };
         });
         this.hosts.splice(0, started.length, ...started);
-        await Promise.all(this.hosts.map((host) => this.connectHost(host)));
+        await Promise.all(this.hosts.map(({ id }) => this.connectHost(id)));
         for (const { backends, id } of specifications) {
             for (const backend of backends) {
                 await this.startBackend(id, backend);
@@ -334,7 +362,7 @@
             ["--caller-address", host.caller.listen],
             ["--host-address", host.host.listen],
             ["--advertise-peer", host.peer.advertised],
-            ["--advertise-inbound", host.inbound.advertised],
+            ...(host.inbound.proxy ? [["--advertise-inbound", host.inbound.advertised]] : []),
             ["--controls", this.replicas.map(({ peer }) => peer.advertised).join(",")],
             ["--seeds", seeds.map(({ peer }) => peer.advertised).join(",")],
             ["--services", this.specification.services.join(",")],
@@ -343,17 +371,27 @@
         ]);
     }
 
-    private async connectHost({ inbound, peer, process: managed }: Host): Promise<void> {
-        const event = await managed.waitFor("node-started");
-        this.connect(peer, event.get("peerAddress"));
-        this.connect(inbound, event.get("inboundAddress"));
+    private async connectHost(id: string): Promise<void> {
+        const index = this.hosts.findIndex((host) => host.id === id);
+        const event = await this.hosts[index].process.waitFor("node-started");
+        const host = this.hosts[index];
+        this.hosts[index] = {
+            ...host,
+            peer: this.connect(host.peer, event.get("peerAddress")),
+            inbound: this.connect(host.inbound, event.get("inboundAddress")),
+            caller: this.connect(host.caller, event.get("callerAddress")),
+            host: this.connect(host.host, event.get("hostAddress")),
+        };
     }
 
-    private connect({ proxy }: Port, address: string | undefined): void {
-        const target: SocketAddress | undefined = address ? parseAddress(address) : undefined;
-        if (target) {
-            proxy?.forwardTo(target);
+    /** Leads the proxy to the address that the process listens on; without a proxy, that is the address in use. */
+    private connect(port: Port, address = ""): Port {
+        const target = parseAddress(address);
+        if (port.proxy && target) {
+            port.proxy.forwardTo(target);
+            return port;
         }
+        return { ...port, listen: address, advertised: address };
     }
 
     private spawn(name: string, program: string, flags: readonly (readonly string[])[]): ManagedProcess {
--- a/src/emulator/convergenceMs.ts
+++ b/src/emulator/convergenceMs.ts
@@ -11,13 +11,13 @@
 export const convergenceMs = (mesh: Mesh, service: string, revision: number): number | undefined => {
     const concerns = (event: ReadonlyMap<string, string>): boolean => event.get("service") === service;
     const acceptances = mesh.replicas
-        .flatMap(({ process: managed }) => managed.history)
+        .flatMap(({ history }) => history())
         .filter((event) => concerns(event) && Number(event.get("revision")) === revision)
         .map(wallMs);
     const arrivals = mesh.hosts
         .filter(({ process: managed }) => managed.isRunning)
-        .map(({ process: managed }) =>
-            managed.history.find((event) =>
+        .map(({ history }) =>
+            history().find((event) =>
                 event.get("event") === "configuration-in-force" && concerns(event)
                 && Number(event.get("revision")) >= revision
             )
--- a/src/load/LoadRunner.ts
+++ b/src/load/LoadRunner.ts
@@ -54,6 +54,11 @@
         this.stopped = true;
     }
 
+    /** What has been sent and has failed so far. */
+    public get progress() {
+        return { sent: this.sent, failedByVersion: new Map(this.failedByVersion) } as const;
+    }
+
     public async run(): Promise<LoadResult> {
         const { durationMs, requestsPerSecond } = this.plan;
         const intervalMs = MS_PER_SECOND / requestsPerSecond;
--- a/src/load/StandInBackend.ts
+++ b/src/load/StandInBackend.ts
@@ -40,6 +40,9 @@
     /** Requests by key that ran more than once although they carry an idempotency key. */
     readonly repeated: readonly string[];
     readonly ranKeys: number;
+    /** When the first request was hit by the fault and when the last request came, on the monotonic clock. */
+    readonly firstFaultMs: number | undefined;
+    readonly lastRequestMs: number | undefined;
 };
 
 /** A small backend server for the bench and the tests: it drains, starts cold, sheds load and honours cancellation. */
@@ -57,6 +60,8 @@
     private requests = 0;
     private cancelled = 0;
     private shed = 0;
+    private firstFaultMs: number | undefined;
+    private lastRequestMs: number | undefined;
 
     public constructor(private readonly options: BackendOptions) {
         this.random = new RandomSource(options.seed);
@@ -66,8 +71,16 @@
 
     public get statistics(): BackendStatistics {
         const repeated = [...this.runsByKey].filter(([, runs]) => runs > 1).map(([key]) => key);
-        const { cancelled, requests, shed } = this;
-        return { requests, cancelled, shed, repeated, ranKeys: this.runsByKey.size };
+        const { cancelled, firstFaultMs, lastRequestMs, requests, shed } = this;
+        return { requests, cancelled, shed, repeated, ranKeys: this.runsByKey.size, firstFaultMs, lastRequestMs };
+    }
+
+    public get service(): string {
+        return this.options.service;
+    }
+
+    public get backendVersion(): string {
+        return this.options.backendVersion;
     }
 
     /** IP:PORT once it has started. */
@@ -131,11 +144,15 @@
 
     private async work(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         this.requests += 1;
+        this.lastRequestMs = performance.now();
         const key = incoming.headers["idempotency-key"];
         if (typeof key === "string" && incoming.method === "POST") {
             this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
         }
         const hit = this.isHit(incoming.url ?? "/");
+        if (hit) {
+            this.firstFaultMs ??= performance.now();
+        }
         const extraMs = hit && this.fault.kind === "slow" ? this.fault.delayMs : 0;
         const whole = await this.delay(response, this.baseLatencyMs() + extraMs);
         if (!whole) {
--- a/src/proxy/CallDeadline.ts
+++ b/src/proxy/CallDeadline.ts
@@ -10,7 +10,7 @@
         this.timer = setTimeout(() => {
             this.controller.abort(new DOMException("the deadline has passed", "TimeoutError"));
         }, timeoutMs);
-        response.once("close", () => this.controller.abort());
+        response.once("close", () => this.onClose(response));
     }
 
     public get signal(): AbortSignal {
@@ -20,4 +20,11 @@
     public dispose(): void {
         clearTimeout(this.timer);
     }
+
+    /** An answered call is not aborted: building the abort's error would cost more than the rest of the call. */
+    private onClose(response: ServerResponse): void {
+        if (!response.writableFinished) {
+            this.controller.abort();
+        }
+    }
 }
--- a/src/proxy/CallerServer.ts
+++ b/src/proxy/CallerServer.ts
@@ -170,7 +170,7 @@
     private chooseVersion(routing: ServiceRouting): ServiceRouting["stable"] {
         const { guard, proxyFraction, random } = this.options;
         return chooseVersion(routing, {
-            proxyFraction: proxyFraction(routing.service, routing.candidate?.version ?? 0),
+            proxyFraction: routing.candidate ? proxyFraction(routing.service, routing.candidate.version) : 0,
             requestFraction: random.fraction(),
             suppressed: guard.isSuppressed(routing.service),
         });
--- a/src/proxy/admissions.ts
+++ b/src/proxy/admissions.ts
@@ -3,7 +3,8 @@
 
 const SERVICE_TIME_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 5;
-const MAXIMUM_CALLERS = 1_000;
+/** Callers whose turn is remembered. The record is copied with every request, so it is kept small. */
+const MAXIMUM_CALLERS = 64;
 
 type QueuedRequest = AdmissionState["queue"][number];
 
