Admit only what is likely to end before its deadline

Cause: at 2x the load that fills all slots, goodput fell to 115.4/s of 211.8/s at 1x. 641 requests had unknown outcomes: they were admitted on the mean service time and ran out of time in the slot or in the queue, so their work was wasted. Ruled out: the plain run in the same mesh, whose answers all came after the deadline. Change: admission keeps the mean deviation too and refuses at once, as not run, what would not end in time if it took two deviations longer than usual. The stand-in backend server now has real slots with a queue; the load counts late answers apart; a version that fails under load is keyed to requests a second.

--- a/src/bin/filbertdeal-load.ts
+++ b/src/bin/filbertdeal-load.ts
@@ -19,7 +19,7 @@
         share: Number(flags.faultShare),
         pathPrefix: flags.faultPath,
         afterMs: Number(flags.faultAfterMs),
-        aboveConcurrent: Number(flags.faultAboveConcurrent),
+        abovePerSecond: Number(flags.faultAbovePerSecond),
         delayMs: Number(flags.faultDelayMs),
     };
     const backend = new StandInBackend({
@@ -33,6 +33,7 @@
         warmUpMs: Number(flags.warmUpMs),
         healthLagMs: Number(flags.healthLagMs),
         fault,
+        shedFactor: Number(flags.shedFactor),
         seed: Number(flags.seed),
     });
     await backend.start();
@@ -76,7 +77,8 @@
         .option("--fault-share <share>", "share of requests that are hit", "1")
         .option("--fault-path <prefix>", "only requests whose path starts so", "/")
         .option("--fault-after-ms <ms>", "when the fault begins", "0")
-        .option("--fault-above-concurrent <number>", "only while more requests are in progress", "0")
+        .option("--fault-above-per-second <number>", "only while more requests a second come", "0")
+        .option("--shed-factor <number>", "multiple of the slots beyond which load is shed", "4")
         .option("--fault-delay-ms <ms>", "extra latency of a slow answer", "500")
         .option("--seed <number>", "seed of the random numbers", "1")
         .action(startBackend);
--- a/src/emulator/Mesh.ts
+++ b/src/emulator/Mesh.ts
@@ -18,6 +18,7 @@
 const PROGRAMS = resolve(__dirname, "..", "bin");
 const DEADLINE_MS = 60_000;
 const POLL_MS = 50;
+const SHED_FACTOR = 4;
 
 type HostSpecification = MeshSpecification["hosts"][number];
 
@@ -214,6 +215,7 @@
             warmUpMs: 0,
             healthLagMs: 0,
             fault,
+            shedFactor: SHED_FACTOR,
             seed: this.specification.seed + index,
         });
         await backend.start();
--- a/src/load/FaultPlan.ts
+++ b/src/load/FaultPlan.ts
@@ -7,8 +7,8 @@
     readonly pathPrefix: string;
     /** The fault begins this long after the start. */
     readonly afterMs: number;
-    /** Only while more than this many requests are in progress. */
-    readonly aboveConcurrent: number;
+    /** Only while more than this many requests a second come. */
+    readonly abovePerSecond: number;
     /** Extra latency of a slow answer. */
     readonly delayMs: number;
 };
--- a/src/load/LoadResult.ts
+++ b/src/load/LoadResult.ts
@@ -4,6 +4,8 @@
     readonly succeeded: number;
     /** Answers with a server error, by kind, and requests without an answer. */
     readonly failed: number;
+    /** Good answers that came after the caller's deadline. */
+    readonly late: number;
     readonly refusedNotRun: number;
     readonly unknownOutcome: number;
     /** Answers that belong to another request. */
@@ -17,7 +19,7 @@
         readonly maximum: number;
         readonly mean: number;
     };
-    /** Successful answers in each second since the start. */
+    /** Good answers in time, in each second since the start. */
     readonly successesPerSecond: readonly number[];
     readonly failuresPerSecond: readonly number[];
     /** Failed requests by what the caller was told. */
--- a/src/load/LoadRunner.ts
+++ b/src/load/LoadRunner.ts
@@ -41,6 +41,7 @@
     private refusedNotRun = 0;
     private unknownOutcome = 0;
     private misdelivered = 0;
+    private late = 0;
     private startedMs = 0;
     private stopped = false;
 
@@ -141,8 +142,13 @@
         }
         const echoed = (JSON.parse(text) as { readonly requestId?: string; }).requestId;
         this.misdelivered += echoed === requestId ? 0 : 1;
+        const elapsedMs = performance.now() - intendedMs;
         this.succeeded += 1;
-        this.histogram.recordValue(Math.max(0, Math.round((performance.now() - intendedMs) * MICROSECONDS)));
+        this.histogram.recordValue(Math.max(0, Math.round(elapsedMs * MICROSECONDS)));
+        if (elapsedMs > this.plan.timeoutMs) {
+            this.late += 1;
+            return;
+        }
         incrementAt(this.successes, this.secondOf(intendedMs));
     }
 
@@ -161,11 +167,12 @@
     }
 
     private result(): LoadResult {
-        const { histogram, misdelivered, refusedNotRun, sent, succeeded, unknownOutcome } = this;
+        const { histogram, late, misdelivered, refusedNotRun, sent, succeeded, unknownOutcome } = this;
         return {
             sent,
             succeeded,
             failed: sent - succeeded,
+            late,
             refusedNotRun,
             unknownOutcome,
             misdelivered,
--- a/src/load/StandInBackend.ts
+++ b/src/load/StandInBackend.ts
@@ -10,9 +10,7 @@
 import { FaultPlan } from "./FaultPlan";
 
 const ANNOUNCE_INTERVAL_MS = 500;
-
-/** Slots beyond those announced before the backend server sheds load. */
-const SHED_FACTOR = 2;
+const RATE_WINDOW_MS = 1_000;
 
 /** How a stand-in backend server is set up. */
 type BackendOptions = {
@@ -29,6 +27,8 @@
     /** Health and load endpoints show what was true this long ago. */
     readonly healthLagMs: number;
     readonly fault: FaultPlan;
+    /** Load is shed once this multiple of the slots is in progress or waiting for a slot. */
+    readonly shedFactor: number;
     readonly seed: number;
 };
 
@@ -57,6 +57,9 @@
     private fault: FaultPlan;
     private faultSetMs = performance.now();
     private active = 0;
+    private freeSlots: number;
+    private readonly waiting: (() => void)[] = [];
+    private readonly arrivalsMs: number[] = [];
     private requests = 0;
     private cancelled = 0;
     private shed = 0;
@@ -66,6 +69,7 @@
     public constructor(private readonly options: BackendOptions) {
         this.random = new RandomSource(options.seed);
         this.fault = options.fault;
+        this.freeSlots = options.slots;
         this.server = createServer((incoming, response) => void this.serve(incoming, response));
     }
 
@@ -128,7 +132,7 @@
             await this.serveControl(incoming, response);
             return;
         }
-        if (this.active >= this.options.slots * SHED_FACTOR) {
+        if (this.active >= this.options.slots * this.options.shedFactor) {
             this.shed += 1;
             response.writeHead(503, { [proxyHeaders.notRun]: "1" }).end();
             return;
@@ -145,6 +149,7 @@
     private async work(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         this.requests += 1;
         this.lastRequestMs = performance.now();
+        this.arrivalsMs.push(this.lastRequestMs);
         const key = incoming.headers["idempotency-key"];
         if (typeof key === "string" && incoming.method === "POST") {
             this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
@@ -154,7 +159,9 @@
             this.firstFaultMs ??= performance.now();
         }
         const extraMs = hit && this.fault.kind === "slow" ? this.fault.delayMs : 0;
-        const whole = await this.delay(response, this.baseLatencyMs() + extraMs);
+        await this.takeSlot();
+        const whole = !response.destroyed && await this.delay(response, this.baseLatencyMs() + extraMs);
+        this.giveSlotBack();
         if (!whole) {
             this.cancelled += 1;
             return;
@@ -167,6 +174,33 @@
         response.end(JSON.stringify({ path: incoming.url, requestId: incoming.headers[proxyHeaders.requestId] }));
     }
 
+    /** Requests beyond the slots wait in the order of arrival. */
+    private takeSlot(): Promise<void> {
+        if (this.freeSlots > 0) {
+            this.freeSlots -= 1;
+            return Promise.resolve();
+        }
+        return new Promise((resolve) => this.waiting.push(resolve));
+    }
+
+    private giveSlotBack(): void {
+        const next = this.waiting.shift();
+        if (next) {
+            next();
+            return;
+        }
+        this.freeSlots += 1;
+    }
+
+    /** Requests that came within the last second. */
+    private recentRequests(): number {
+        const sinceMs = performance.now() - RATE_WINDOW_MS;
+        while (this.arrivalsMs.length > 0 && this.arrivalsMs[0] < sinceMs) {
+            this.arrivalsMs.shift();
+        }
+        return this.arrivalsMs.length;
+    }
+
     private baseLatencyMs(): number {
         const { coldLatencyMs, latencyMs, warmUpMs } = this.options;
         const ageMs = performance.now() - this.startedMs;
@@ -175,9 +209,9 @@
     }
 
     private isHit(path: string): boolean {
-        const { aboveConcurrent, afterMs, kind, pathPrefix, share } = this.fault;
+        const { abovePerSecond, afterMs, kind, pathPrefix, share } = this.fault;
         const due = performance.now() - this.faultSetMs >= afterMs;
-        const loaded = this.active > aboveConcurrent;
+        const loaded = this.recentRequests() > abovePerSecond;
         return kind !== "none" && due && loaded && path.startsWith(pathPrefix) && this.random.fraction() < share;
     }
 
--- a/src/load/noFault.ts
+++ b/src/load/noFault.ts
@@ -6,6 +6,6 @@
     share: 1,
     pathPrefix: "/",
     afterMs: 0,
-    aboveConcurrent: 0,
+    abovePerSecond: 0,
     delayMs: 500,
 };
--- a/src/proxy/AdmissionState.ts
+++ b/src/proxy/AdmissionState.ts
@@ -7,6 +7,8 @@
     readonly queue: readonly QueuedRequest[];
     /** Exponentially weighted mean time that a request holds its place, in milliseconds. */
     readonly serviceMs: number;
+    /** Exponentially weighted mean distance from that mean, in milliseconds. */
+    readonly deviationMs: number;
     /** When each caller was last served, as a running number. */
     readonly lastServed: ReadonlyMap<string, number>;
     readonly served: number;
--- a/src/proxy/admissions.ts
+++ b/src/proxy/admissions.ts
@@ -3,6 +3,9 @@
 
 const SERVICE_TIME_WEIGHT = 0.1;
 const INITIAL_SERVICE_MS = 5;
+
+/** A request is worked on only if it ends in time even when it takes this many mean deviations longer than usual. */
+const LIKELY_DEVIATIONS = 2;
 /** Callers whose turn is remembered. The record is copied with every request, so it is kept small. */
 const MAXIMUM_CALLERS = 64;
 
@@ -25,6 +28,7 @@
     active: 0,
     queue: [],
     serviceMs: INITIAL_SERVICE_MS,
+    deviationMs: 0,
     lastServed: new Map(),
     served: 0,
 };
@@ -69,6 +73,10 @@
     return { ...state, active: state.active + 1, served, lastServed: lastServed.set(caller, served) };
 };
 
+/** Time that all but the slowest requests hold their place, in milliseconds. */
+const likelyServiceMs = ({ deviationMs, serviceMs }: AdmissionState): number =>
+    serviceMs + LIKELY_DEVIATIONS * deviationMs;
+
 /** Time until a request that joins the queue now can expect to start, in milliseconds. */
 const expectedWaitMs = ({ queue, serviceMs }: AdmissionState, { maximumConcurrent }: AdmissionLimits): number =>
     ((queue.length + 1) * serviceMs) / maximumConcurrent;
@@ -84,7 +92,7 @@
             break;
         }
         next = without(next, request.id);
-        if (request.deadlineMs - nowMs < state.serviceMs / 2) {
+        if (request.deadlineMs - nowMs < likelyServiceMs(state)) {
             refused.push(request.id);
             continue;
         }
@@ -104,7 +112,7 @@
     if (state.active < limits.maximumConcurrent && state.queue.length === 0) {
         return { state: serve(state, request.caller), started: [request.id], refused: [] };
     }
-    if (nowMs + expectedWaitMs(state, limits) + state.serviceMs > request.deadlineMs) {
+    if (nowMs + expectedWaitMs(state, limits) + likelyServiceMs(state) > request.deadlineMs) {
         return { state, started: [], refused: [request.id] };
     }
     const queued = { ...state, queue: [...state.queue, request] };
@@ -117,8 +125,10 @@
 
 /** A request is done after `elapsedMs`. */
 const finish = (state: AdmissionState, elapsedMs: number, limits: AdmissionLimits, nowMs: number): Result => {
-    const serviceMs = state.serviceMs + SERVICE_TIME_WEIGHT * (elapsedMs - state.serviceMs);
-    return startWaiting({ ...state, active: Math.max(0, state.active - 1), serviceMs }, limits, nowMs);
+    const distanceMs = elapsedMs - state.serviceMs;
+    const serviceMs = state.serviceMs + SERVICE_TIME_WEIGHT * distanceMs;
+    const deviationMs = state.deviationMs + SERVICE_TIME_WEIGHT * (Math.abs(distanceMs) - state.deviationMs);
+    return startWaiting({ ...state, active: Math.max(0, state.active - 1), serviceMs, deviationMs }, limits, nowMs);
 };
 
 /** A waiting request is given up by its caller. */
