Measure capacity; look for parents only when the members changed

Each node ranked all members for its parents four times a second, and heartbeats were doubled. Change: candidates are computed once for each state of the members; an empty frame is sent only when nothing else was; stand-in backend servers announce once a second.

--- a/src/load/StandInBackend.ts
+++ b/src/load/StandInBackend.ts
@@ -9,7 +9,7 @@
 import { SocketAddress } from "../transport/SocketAddress";
 import { FaultPlan } from "./FaultPlan";
 
-const ANNOUNCE_INTERVAL_MS = 500;
+const ANNOUNCE_INTERVAL_MS = 1_000;
 const RATE_WINDOW_MS = 1_000;
 
 /** How a stand-in backend server is set up. */
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -3,6 +3,7 @@
 import { EventLog } from "../core/EventLog";
 import { hashFraction } from "../core/hashFraction";
 import { HybridClock } from "../core/HybridClock";
+import { onceForEach } from "../core/onceForEach";
 import { pause } from "../core/pause";
 import { RandomSource } from "../core/RandomSource";
 import { SystemClock } from "../core/SystemClock";
@@ -89,6 +90,15 @@
     const floorGate = new FloorGate(clock.monotonicMs(), settings.seeds !== "");
     const ownServices = splitList(settings.services);
 
+    const parentCandidates = onceForEach((state: MembershipState) =>
+        chooseParents({
+            ownId: settings.id,
+            ownZone: settings.zone,
+            members: membershipChanges.present(state),
+            controls: splitList(settings.controls),
+        })
+    );
+
     const reportOwn = (state: ResourceState): void => {
         reports.reportOwn(toServiceReports(settings.zone, ownServices, state, guard), []);
     };
@@ -112,13 +122,7 @@
             network,
             clock,
             log,
-            parents: () =>
-                chooseParents({
-                    ownId: settings.id,
-                    ownZone: settings.zone,
-                    members: membershipChanges.present(membership.present),
-                    controls: splitList(settings.controls),
-                }),
+            parents: () => parentCandidates(membership.present),
             onChange: (state, changed) => {
                 table = buildRoutingTable(state);
                 guard.follow(table);
--- a/src/transport/FramedConnection.ts
+++ b/src/transport/FramedConnection.ts
@@ -23,6 +23,7 @@
     private events: ConnectionEvents | undefined;
     private early: unknown[] = [];
     private closed = false;
+    private sentLately = false;
     private heartbeat: NodeJS.Timeout | undefined;
 
     public constructor(private readonly socket: Socket) {
@@ -63,7 +64,10 @@
                 this.close();
                 return;
             }
-            this.socket.write(EMPTY_FRAME);
+            if (!this.sentLately) {
+                this.socket.write(EMPTY_FRAME);
+            }
+            this.sentLately = false;
         }, TransportLimits.HeartbeatIntervalMs);
     }
 
@@ -78,6 +82,7 @@
         }
         const frame = encodeFrame(this.encoder, message);
         this.socket.write(frame);
+        this.sentLately = true;
         return frame.length;
     }
 
