--- a/src/emulator/__tests__/nodeFailures.test.ts
+++ b/src/emulator/__tests__/nodeFailures.test.ts
@@ -194,6 +194,28 @@
             expect(failureOf(await running)).toEqual({ failureReasons: {}, failed: 0, misdelivered: 0 });
         }));
 
+    test("a node that stops finishes a long request that is in progress", () =>
+        sampleMesh({ ...small, hostsPerZone: 1, seed: 208 }, async (mesh) => {
+            const operator = await applyFirst(mesh);
+            await operator.ended(
+                "map",
+                await operator.apply(entryOf("map", { backendVersion: "v1", timeoutMs: 30_000 })),
+            );
+            const slow = JSON.stringify({ kind: "slow", pathPrefix: "/slow", delayMs: 4_000 });
+            for (const { boundAddress } of mesh.allBackends) {
+                await fetch(`http://${boundAddress}/_fault`, { method: "POST", body: slow });
+            }
+            const [leaving] = mesh.hosts;
+            const before = requestsServed(mesh);
+            const answer = fetch(`http://${leaving.caller.advertised}/slow`, {
+                headers: { "x-filbertdeal-service": "map" },
+            });
+            await mesh.until("the request is in progress", async () => requestsServed(mesh) > before);
+            const ended = leaving.process.end("SIGTERM");
+            expect((await answer).status).toBe(200);
+            await ended;
+        }));
+
     test("a backend server that leaves gets no new work once the news has spread, and loses no request", () =>
         sampleMesh({ ...small, seed: 207, latencyMs: 20 }, async (mesh) => {
             await applyFirst(mesh);
--- a/src/moves/decideMove.ts
+++ b/src/moves/decideMove.ts
@@ -66,8 +66,9 @@
     if (late && !move.late) {
         return { kind: "mark-move", service, version, late, atMs };
     }
-    const { expected, holding, silentZones } = coverageChanges.summarize(coverage, revision);
-    const everywhere = silentZones.length === 0 && expected > 0 && holding >= expected;
+    // The proxies of a silent zone stay expected, so the move waits for them.
+    const { expected, holding } = coverageChanges.summarize(coverage, revision);
+    const everywhere = expected > 0 && holding >= expected;
     if (move.inForceAtMs !== undefined) {
         const watchedMs = atMs - Math.max(move.inForceAtMs, question.judgingSinceMs);
         return watchedMs >= entry.limits.watchMs ? { kind: "finish-move", service, version, atMs } : undefined;
