Let one piece of code serve where two did the same

Cause: a reading of the whole change found the same logic written twice, and some of it in the wrong place. Change, without a change of behaviour in the product: withMesh runs an experiment on a temporary mesh (was written in sampleMesh, the bench and the demo); ReadLoad sends a firm's reads (was in two experiments); sumEvidence is called directly for each request in place of a map built for one addition; a child computes its best parent only; links schedule a retry in one place; the empty model budget stands once. Dead fields and a doubled check are gone.

--- a/src/bench/LatencyExperiment.ts
+++ b/src/bench/LatencyExperiment.ts
@@ -1,28 +1,23 @@
 import { Mesh } from "../emulator/Mesh";
-import { MeshOperator } from "../emulator/MeshOperator";
-import { LoadResult } from "../load/LoadResult";
-import { LoadRunner } from "../load/LoadRunner";
-import { benchEntry } from "./benchEntry";
 import { Firm } from "./Firm";
 import { LatencyReport } from "./LatencyReport";
+import { ReadLoad } from "./ReadLoad";
 
 const RATES = [50, 200, 800] as const;
 const STEP_MS = 5_000;
+const CONNECTIONS = 64;
 
 /** Compares calls through the system with direct calls to the same backend servers, at several rates. */
 export class LatencyExperiment {
     public constructor(private readonly mesh: Mesh, private readonly firm: Firm, private readonly seed: number) {}
 
     public async run(): Promise<readonly LatencyReport[]> {
-        const operator = new MeshOperator(this.mesh);
-        await operator.ended(this.firm.service, await operator.apply(benchEntry(this.firm, "v0")));
-        const direct = this.mesh.allBackends
-            .filter(({ service }) => service === this.firm.service)
-            .map(({ boundAddress }) => boundAddress);
+        const { firm, mesh, seed } = this;
+        const load = await ReadLoad.prepare({ mesh, firm, seed, stepMs: STEP_MS, maximumConnections: CONNECTIONS });
         const reports: LatencyReport[] = [];
         for (const requestsPerSecond of RATES) {
-            const alone = (await this.load(direct, requestsPerSecond)).latencyMs;
-            const through = (await this.load(this.mesh.callerAddresses, requestsPerSecond)).latencyMs;
+            const alone = (await load.direct(requestsPerSecond)).latencyMs;
+            const through = (await load.through(requestsPerSecond)).latencyMs;
             reports.push({
                 requestsPerSecond,
                 directP50Ms: alone.p50,
@@ -35,17 +30,4 @@
         }
         return reports;
     }
-
-    private load(targets: readonly string[], requestsPerSecond: number): Promise<LoadResult> {
-        return new LoadRunner({
-            targets,
-            service: this.firm.service,
-            requestsPerSecond,
-            durationMs: STEP_MS,
-            requests: [{ method: "GET", path: this.firm.readPath, weight: 1 }],
-            timeoutMs: 1_000,
-            seed: this.seed,
-            maximumConnections: 64,
-        }).run();
-    }
 }
--- a/src/bench/MoveExperiment.ts
+++ b/src/bench/MoveExperiment.ts
@@ -25,7 +25,7 @@
 /** A fresh backend version on every host of the service. */
 type Rollout = {
     readonly label: string;
-    readonly backends: readonly { readonly hostId: string; readonly backend: StandInBackend; }[];
+    readonly backends: readonly StandInBackend[];
 };
 
 /** Moves a service to good and bad versions, one after the other, under load and faults. */
@@ -131,7 +131,7 @@
                 slots: firm.slots,
                 latencyMs: BACKEND_LATENCY_MS,
             };
-            backends.push({ hostId: id, backend: await mesh.startBackend(id, specification, fault) });
+            backends.push(await mesh.startBackend(id, specification, fault));
         }
         return { label, backends };
     }
@@ -149,8 +149,8 @@
     }
 
     private faultToZeroMs({ backends }: Rollout): number | undefined {
-        const faults = backends.flatMap(({ backend }) => backend.statistics.firstFaultMs ?? []);
-        const requests = backends.flatMap(({ backend }) => backend.statistics.lastRequestMs ?? []);
+        const faults = backends.flatMap(({ statistics }) => statistics.firstFaultMs ?? []);
+        const requests = backends.flatMap(({ statistics }) => statistics.lastRequestMs ?? []);
         return faults.length === 0 ? undefined : Math.max(0, Math.max(...requests) - Math.min(...faults));
     }
 
--- a/src/bench/OverloadExperiment.ts
+++ b/src/bench/OverloadExperiment.ts
@@ -1,15 +1,14 @@
 import { pause } from "../core/pause";
 import { Mesh } from "../emulator/Mesh";
-import { MeshOperator } from "../emulator/MeshOperator";
 import { LoadResult } from "../load/LoadResult";
-import { LoadRunner } from "../load/LoadRunner";
-import { benchEntry } from "./benchEntry";
 import { Firm } from "./Firm";
 import { OverloadReport } from "./OverloadReport";
+import { ReadLoad } from "./ReadLoad";
 
 /** Shares of full load. Full load itself leaves no room for chance, so 1x is a little below it. */
 const FACTORS = [0.9, 2, 5] as const;
 const STEP_MS = 6_000;
+const CONNECTIONS = 512;
 const SETTLE_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 const WARM_UP_SECONDS = 1;
@@ -25,19 +24,15 @@
     public constructor(private readonly mesh: Mesh, private readonly firm: Firm, private readonly seed: number) {}
 
     public async run(): Promise<readonly OverloadReport[]> {
-        const operator = new MeshOperator(this.mesh);
-        await operator.ended(this.firm.service, await operator.apply(benchEntry(this.firm, "v0")));
-        const direct = this.mesh.allBackends
-            .filter(({ service }) => service === this.firm.service)
-            .map(({ boundAddress }) => boundAddress);
+        const { firm, mesh, seed } = this;
+        const load = await ReadLoad.prepare({ mesh, firm, seed, stepMs: STEP_MS, maximumConnections: CONNECTIONS });
+        const full = (firm.instances * firm.slots * MS_PER_SECOND) / firm.overloadLatencyMs;
         const reports: OverloadReport[] = [];
         for (const factor of FACTORS) {
-            const { firm } = this;
-            const full = (firm.instances * firm.slots * MS_PER_SECOND) / firm.overloadLatencyMs;
             const offeredPerSecond = full * factor;
-            const result = await this.load(this.mesh.callerAddresses, offeredPerSecond);
+            const result = await load.through(offeredPerSecond);
             await pause(SETTLE_MS);
-            const plain = await this.load(direct, offeredPerSecond);
+            const plain = await load.direct(offeredPerSecond);
             await pause(SETTLE_MS);
             reports.push({
                 factor,
@@ -51,17 +46,4 @@
         }
         return reports;
     }
-
-    private load(targets: readonly string[], requestsPerSecond: number): Promise<LoadResult> {
-        return new LoadRunner({
-            targets,
-            service: this.firm.service,
-            requestsPerSecond,
-            durationMs: STEP_MS,
-            requests: [{ method: "GET", path: this.firm.readPath, weight: 1 }],
-            timeoutMs: 1_000,
-            seed: this.seed,
-            maximumConnections: 512,
-        }).run();
-    }
 }
--- a/src/bench/measureCapacity.ts
+++ b/src/bench/measureCapacity.ts
@@ -256,6 +256,7 @@
 /** A replica's start by the length of its log, and one synced append. */
 const measureByLog = async (): Promise<readonly CapacityReport[]> => {
     const membership = { voters: [{ id: "a", address: "127.0.0.1:1" }], learners: [] };
+    const entry = entryFor("map", "v1");
     const recovery: { readonly x: number; readonly y: number; }[] = [];
     const append: { readonly x: number; readonly y: number; }[] = [];
     for (const x of LOG_LENGTHS) {
@@ -264,7 +265,7 @@
         await store.recover(membership);
         const startedMs = performance.now();
         for (let index = 1; index <= x; index += 1) {
-            const command = { kind: "apply", entry: entryFor("map", "v1"), expectedVersion: index };
+            const command = { kind: "apply", entry, expectedVersion: index };
             await store.saveEntries(index, [{ index, term: 1, payload: { kind: "command", command } }]);
         }
         append.push({ x, y: (performance.now() - startedMs) / x });
--- a/src/bin/bench.ts
+++ b/src/bin/bench.ts
@@ -1,7 +1,5 @@
 import { Command } from "commander";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { writeFile } from "node:fs/promises";
 import { BadKind } from "../bench/BadKind";
 import { benchHosts } from "../bench/benchHosts";
 import { BenchReport } from "../bench/BenchReport";
@@ -16,6 +14,7 @@
 import { summarizeBench } from "../bench/summarizeBench";
 import { formatTable } from "../cli/formatTable";
 import { Mesh } from "../emulator/Mesh";
+import { withMesh } from "../emulator/withMesh";
 import { runProgram } from "../process/runProgram";
 
 type Options = {
@@ -41,30 +40,15 @@
     BadKind.UnderLoad,
 ];
 
-const inMesh = async <Result>(
+const inMesh = <Result>(
     firm: Firm,
     seed: number,
     withFaults: boolean,
     latencyMs: number | undefined,
     experiment: (mesh: Mesh) => Promise<Result>,
 ): Promise<Result> => {
-    const folder = await mkdtemp(join(tmpdir(), "filbertdeal-bench-"));
     const services = [firm.service, firm.otherService];
-    const mesh = await Mesh.start({
-        controls: 3,
-        hosts: benchHosts(firm, latencyMs),
-        services,
-        folder,
-        seed,
-        withFaults,
-    });
-    try {
-        return await experiment(mesh);
-    }
-    finally {
-        await mesh.dispose();
-        await rm(folder, { recursive: true, force: true });
-    }
+    return withMesh({ controls: 3, hosts: benchHosts(firm, latencyMs), services, seed, withFaults }, experiment);
 };
 
 const parseFaults = (text: string): readonly FaultKind[] =>
--- a/src/bin/demo.ts
+++ b/src/bin/demo.ts
@@ -1,5 +1,3 @@
-import { mkdtemp, rm } from "node:fs/promises";
-import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { MoveResult } from "../catalogue/MoveResult";
 import { readEntryFile } from "../cli/readEntryFile";
@@ -7,6 +5,7 @@
 import { Mesh } from "../emulator/Mesh";
 import { MeshOperator } from "../emulator/MeshOperator";
 import { MeshSpecification } from "../emulator/MeshSpecification";
+import { withMesh } from "../emulator/withMesh";
 import { LoadRunner } from "../load/LoadRunner";
 import { noFault } from "../load/noFault";
 import { runProgram } from "../process/runProgram";
@@ -151,23 +150,10 @@
 };
 
 runProgram(async () => {
-    const folder = await mkdtemp(join(tmpdir(), "filbertdeal-demo-"));
-    const mesh = await Mesh.start({
-        controls: 3,
-        hosts,
-        services: SERVICES,
-        folder,
-        seed: SEED,
-        withFaults: false,
-    });
-    let succeeded = false;
-    try {
-        succeeded = await runStory(mesh);
-    }
-    finally {
-        await mesh.dispose();
-        await rm(folder, { recursive: true, force: true });
-    }
+    const succeeded = await withMesh(
+        { controls: 3, hosts, services: SERVICES, seed: SEED, withFaults: false },
+        runStory,
+    );
     print(succeeded ? "The demo has shown what it claims." : "The demo has FAILED.");
     process.exit(succeeded ? 0 : 1);
 });
--- a/src/distribution/ChildTask.ts
+++ b/src/distribution/ChildTask.ts
@@ -109,18 +109,18 @@
             return;
         }
         this.reconsideredAtMs = nowMs;
-        if (this.candidates(nowMs).at(0)?.address !== this.parent.address) {
+        if (this.best(nowMs)?.address !== this.parent.address) {
             this.followBest(nowMs);
         }
     }
 
-    /** The processes that may serve as parent, without those that could not be reached lately. */
-    private candidates(nowMs: number): readonly ParentCandidate[] {
-        return this.options.parents().filter(({ address }) => (this.avoided.get(address)?.untilMs ?? 0) <= nowMs);
+    /** The best parent, without those that could not be reached lately. */
+    private best(nowMs: number): ParentCandidate | undefined {
+        return this.options.parents().find(({ address }) => (this.avoided.get(address)?.untilMs ?? 0) <= nowMs);
     }
 
     private followBest(nowMs: number): void {
-        const best = this.candidates(nowMs).at(0);
+        const best = this.best(nowMs);
         if (best) {
             this.follow(best, nowMs);
         }
--- a/src/emulator/sampleMesh.ts
+++ b/src/emulator/sampleMesh.ts
@@ -1,8 +1,6 @@
-import { mkdtemp, rm } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { Mesh } from "./Mesh";
 import { MeshSpecification } from "./MeshSpecification";
+import { withMesh } from "./withMesh";
 
 /** The size of a mesh for one experiment. */
 type MeshSize = {
@@ -28,25 +26,7 @@
  * Runs an experiment on a mesh of real processes and cleans up after it. Every host has a backend server of every
  * service, with the version label v1.
  */
-export const sampleMesh = async <Result>(
-    size: MeshSize,
-    experiment: (mesh: Mesh) => Promise<Result>,
-): Promise<Result> => {
-    const folder = await mkdtemp(join(tmpdir(), "filbertdeal-mesh-"));
-    const mesh = await Mesh.start({
-        controls: size.controls ?? 3,
-        hosts: hostsOf(size),
-        services: size.services,
-        folder,
-        seed: size.seed,
-        snapshotEvery: size.snapshotEvery,
-        withFaults: size.withFaults,
-    });
-    try {
-        return await experiment(mesh);
-    }
-    finally {
-        await mesh.dispose();
-        await rm(folder, { recursive: true, force: true });
-    }
+export const sampleMesh = <Result>(size: MeshSize, experiment: (mesh: Mesh) => Promise<Result>): Promise<Result> => {
+    const { controls = 3, seed, services, snapshotEvery, withFaults } = size;
+    return withMesh({ controls, hosts: hostsOf(size), services, seed, snapshotEvery, withFaults }, experiment);
 };
--- a/src/model/__tests__/consensusModel.test.ts
+++ b/src/model/__tests__/consensusModel.test.ts
@@ -2,9 +2,9 @@
 import { QuorumRule } from "../../consensus/QuorumRule";
 import { step } from "../../consensus/step";
 import { createModel } from "../createModel";
+import { emptyBudget } from "../emptyBudget";
 import { exploreModel } from "../exploreModel";
 import { modelBounds } from "../modelBounds";
-import { ModelBudget } from "../ModelBudget";
 import { ModelRules } from "../ModelRules";
 
 const MAXIMUM_STATES = 200_000;
@@ -12,17 +12,6 @@
 /** The bounds that take too long for CI; `npm run model` explores them. */
 const LARGE_BOUNDS: ReadonlySet<string> = new Set(["competing elections"]);
 
-const noBudget: ModelBudget = {
-    electionTimeouts: 0,
-    heartbeats: 0,
-    quorumChecks: 0,
-    proposals: 0,
-    crashes: 0,
-    duplicates: 0,
-    membershipChanges: 0,
-    compactions: 0,
-};
-
 const sound: ModelRules = (state, input) => step(state, input);
 
 describe("the consensus protocol, explored to a bound", () => {
@@ -45,7 +34,7 @@
             const asked = input.kind === "receive" && input.message.kind === "vote-request";
             return step(asked ? { ...state, votedFor: undefined } : state, input);
         };
-        const model = createModel(["a", "b", "c"], [], { ...noBudget, electionTimeouts: 2 });
+        const model = createModel(["a", "b", "c"], [], { ...emptyBudget, electionTimeouts: 2 });
         expect(exploreModel(model, votesTwice, MAXIMUM_STATES).violation).toMatch(/two leaders in term/);
     });
 
@@ -55,7 +44,7 @@
             const result = step(state, input);
             return { ...result, actions: [...result.actions].sort((left, right) => rank(left) - rank(right)) };
         };
-        const model = createModel(["a", "b", "c"], [], { ...noBudget, electionTimeouts: 1, crashes: 1 });
+        const model = createModel(["a", "b", "c"], [], { ...emptyBudget, electionTimeouts: 1, crashes: 1 });
         expect(exploreModel(model, sendsFirst, MAXIMUM_STATES).violation).toMatch(/synced by no quorum/);
     });
 
@@ -65,7 +54,7 @@
             return present * 2 > voters.length;
         };
         const faulty: ModelRules = (state, input) => step(state, input, countsLearners);
-        const model = createModel(["a", "b", "c"], ["d"], { ...noBudget, electionTimeouts: 1 });
+        const model = createModel(["a", "b", "c"], ["d"], { ...emptyBudget, electionTimeouts: 1 });
         expect(exploreModel(model, faulty, MAXIMUM_STATES).violation).toMatch(/synced by no quorum/);
     });
 });
--- a/src/model/modelBounds.ts
+++ b/src/model/modelBounds.ts
@@ -1,3 +1,4 @@
+import { emptyBudget } from "./emptyBudget";
 import { ModelBudget } from "./ModelBudget";
 
 /** A group and the bound to which it is explored exhaustively. */
@@ -8,59 +9,48 @@
     readonly budget: ModelBudget;
 };
 
-const nothing: ModelBudget = {
-    electionTimeouts: 0,
-    heartbeats: 0,
-    quorumChecks: 0,
-    proposals: 0,
-    crashes: 0,
-    duplicates: 0,
-    membershipChanges: 0,
-    compactions: 0,
-};
-
 /** The groups that `npm run model` explores. */
 export const modelBounds: readonly ModelBound[] = [
     {
         name: "competing elections",
         voters: ["a", "b", "c"],
         learners: [],
-        budget: { ...nothing, electionTimeouts: 2 },
+        budget: { ...emptyBudget, electionTimeouts: 2 },
     },
     {
         name: "election and proposal",
         voters: ["a", "b", "c"],
         learners: [],
-        budget: { ...nothing, electionTimeouts: 1, proposals: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1, proposals: 1 },
     },
     {
         name: "election with a crash",
         voters: ["a", "b", "c"],
         learners: [],
-        budget: { ...nothing, electionTimeouts: 1, crashes: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1, crashes: 1 },
     },
     {
         name: "election with a duplicate",
         voters: ["a", "b", "c"],
         learners: [],
-        budget: { ...nothing, electionTimeouts: 1, duplicates: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1, duplicates: 1 },
     },
     {
         name: "membership step",
         voters: ["a", "b"],
         learners: ["d"],
-        budget: { ...nothing, electionTimeouts: 1, membershipChanges: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1, membershipChanges: 1 },
     },
     {
         name: "learner in the group",
         voters: ["a", "b", "c"],
         learners: ["d"],
-        budget: { ...nothing, electionTimeouts: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1 },
     },
     {
         name: "snapshot to a lagging replica",
         voters: ["a", "b"],
         learners: [],
-        budget: { ...nothing, electionTimeouts: 1, proposals: 1, compactions: 1, heartbeats: 1 },
+        budget: { ...emptyBudget, electionTimeouts: 1, proposals: 1, compactions: 1, heartbeats: 1 },
     },
 ];
--- a/src/proxy/CallRunner.ts
+++ b/src/proxy/CallRunner.ts
@@ -38,8 +38,6 @@
 
 const nothingSent: CallResult = { result: { outcome: AttemptOutcome.Unreachable }, memberId: undefined };
 
-const hasAnswer = ({ result }: CallResult): boolean => "status" in result;
-
 const discard = ({ result }: CallResult): void => {
     if ("body" in result) {
         result.body.on("error", () => undefined).destroy();
@@ -174,7 +172,7 @@
             tracker.end(key, outcome, nowMs - startedMs, nowMs);
         };
         const ended: CallResult = { result, memberId: target.memberId };
-        if ("body" in result && hasAnswer(ended)) {
+        if ("body" in result) {
             // The backend server's slot stays taken until the body has ended.
             result.body.once("close", () => end(result.outcome));
         }
--- a/src/proxy/EvidenceRecorder.ts
+++ b/src/proxy/EvidenceRecorder.ts
@@ -1,7 +1,7 @@
-import { addEvidence } from "../distribution/addEvidence";
 import { Evidence } from "../distribution/Evidence";
 import { evidenceKey } from "../distribution/evidenceKey";
 import { latencyBucketsMs } from "../distribution/latencyBucketsMs";
+import { sumEvidence } from "../distribution/sumEvidence";
 import { AttemptOutcome } from "./AttemptOutcome";
 
 /** A request that has ended. */
@@ -43,7 +43,7 @@
         const key = evidenceKey(ended);
         const present = this.counts.get(key);
         const added = toEvidence(ended);
-        this.counts.set(key, present ? addEvidence(new Map([[key, present]]), [added]).get(key) ?? added : added);
+        this.counts.set(key, present ? sumEvidence(present, added) : added);
     }
 
     /** Returns the counts since the last call. */
--- a/src/transport/PeerLink.ts
+++ b/src/transport/PeerLink.ts
@@ -66,9 +66,7 @@
         }
         if (!connection) {
             this.options.onFailure?.();
-            this.schedule(
-                backoffMs(this.attempt, RECONNECT_BASE_MS, RECONNECT_LIMIT_MS, this.options.random.fraction()),
-            );
+            this.scheduleRetry();
             return;
         }
         this.attempt = 0;
@@ -85,12 +83,15 @@
         this.connection = undefined;
         this.options.onClose?.();
         if (!this.timer) {
-            this.schedule(
-                backoffMs(this.attempt, RECONNECT_BASE_MS, RECONNECT_LIMIT_MS, this.options.random.fraction()),
-            );
+            this.scheduleRetry();
         }
     }
 
+    private scheduleRetry(): void {
+        const fraction = this.options.random.fraction();
+        this.schedule(backoffMs(this.attempt, RECONNECT_BASE_MS, RECONNECT_LIMIT_MS, fraction));
+    }
+
     private schedule(delayMs: number): void {
         clearTimeout(this.timer);
         if (this.disposed) {
