--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,10 +20,10 @@
 };
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["src/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts"],
         plugins: { project: { rules: { "single-export": singleExport } } },
         rules: {
             "project/single-export": "error",
--- a/src/bin/demo.ts
+++ b/src/bin/demo.ts
@@ -10,7 +10,7 @@
 import { noFault } from "../load/noFault";
 import { runProgram } from "../process/runProgram";
 
-const EXAMPLES = resolve(__dirname, "..", "..", "examples");
+const EXAMPLES = resolve(__dirname, "..", "..", "..", "examples");
 const SERVICES = ["lipa-map", "lipa-survey", "bursa-stock", "bursa-dispatch"] as const;
 const ZONES = ["zone-a", "zone-b", "zone-c", "zone-d"] as const;
 const HOSTS_PER_ZONE = 3;
--- /dev/null
+++ b/src/calls/CallDispatcher.ts
@@ -0,0 +1,146 @@
+import { MeshRoute } from "../configuration/MeshRoute";
+import { Clock } from "../core/Clock";
+import { RandomSource } from "../core/RandomSource";
+import { BackendChoice } from "./BackendChoice";
+import { BackendViews } from "./BackendViews";
+import { CallOrder } from "./CallOrder";
+import { CallResult } from "./CallResult";
+import { CallTask } from "./CallTask";
+import { pickBackend } from "./pickBackend";
+import { repeatBudget } from "./repeatBudget";
+
+/** What attempts are made with. */
+type DispatcherOptions = {
+    readonly ownZone: string;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly calls: CallTask;
+    readonly views: BackendViews;
+    /** The backend servers that may run a request of the service now. */
+    readonly choices: (service: string) => readonly BackendChoice[];
+    readonly allowance: Parameters<typeof repeatBudget.mayRepeat>[1];
+    readonly onAttempt: (attempt: EndedAttempt) => void;
+};
+
+/** An attempt as the judgement of versions and the log see it. */
+type EndedAttempt = {
+    readonly requestId: string;
+    readonly route: string;
+    readonly choice: BackendChoice;
+    readonly result: CallResult;
+    readonly elapsedMs: number;
+    readonly attempt: number;
+};
+
+/** A request that is to be served. */
+type DispatchedCall = {
+    readonly route: MeshRoute;
+    readonly service: string;
+    readonly order: Omit<CallOrder, "instanceId" | "remainingMs" | "targetRemainingMs">;
+    /** On the steady clock. */
+    readonly arrivedMs: number;
+    readonly deadlineMs: number;
+    readonly signal: AbortSignal;
+};
+
+/** Nodes that may refuse a request before the caller is refused. */
+const MAXIMUM_REFUSALS = 2;
+
+/** With less time than this another attempt can't be answered: two hops and the shortest work. */
+const MINIMUM_ATTEMPT_MS = 15;
+
+/** Callers come back after this time when no backend server is known at all: one announcement may be under way. */
+const NO_BACKEND_RETRY_AFTER_MS = 300;
+
+/** Makes the attempts of a request within the route's limits, the budget of repetitions and the deadline. */
+export class CallDispatcher {
+    private readonly budgets = new Map<string, typeof repeatBudget.empty>();
+
+    public constructor(private readonly options: DispatcherOptions) {}
+
+    public async dispatch(call: DispatchedCall): Promise<CallResult> {
+        const { allowance, clock } = this.options;
+        this.budgets.set(call.service, repeatBudget.onRequest(this.budgetOf(call), allowance, clock.monotonicMs()));
+        const tried = new Set<string>();
+        let sent = 0;
+        let refusals = 0;
+        let last: CallResult = { kind: "not-run", reason: "no-room", retryAfterMs: NO_BACKEND_RETRY_AFTER_MS };
+        let mayHaveRun: CallResult | undefined;
+        for (;;) {
+            const choice = this.pick(call, tried);
+            if (!choice) {
+                return mayHaveRun ?? last;
+            }
+            tried.add(choice.nodeId);
+            last = await this.attempt(call, choice, sent + 1);
+            mayHaveRun = last.kind === "not-run" ? mayHaveRun : last;
+            const reached = last.kind !== "not-run" || last.reason === "shed";
+            sent += reached ? 1 : 0;
+            refusals += reached ? 0 : 1;
+            if (!this.mayRepeat(call, last, sent, refusals)) {
+                return mayHaveRun ?? last;
+            }
+            if (sent > 0) {
+                this.budgets.set(
+                    call.service,
+                    repeatBudget.onRepeat(this.budgetOf(call), allowance, clock.monotonicMs()),
+                );
+            }
+        }
+    }
+
+    private budgetOf({ service }: DispatchedCall): typeof repeatBudget.empty {
+        return this.budgets.get(service) ?? repeatBudget.empty;
+    }
+
+    private pick({ service }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
+        const { choices, clock, ownZone, random, views } = this.options;
+        return pickBackend({
+            choices: choices(service),
+            viewOf: (choice) => views.viewOf(choice),
+            ownZone,
+            tried,
+            nowMs: clock.monotonicMs(),
+            random,
+        });
+    }
+
+    private async attempt(call: DispatchedCall, choice: BackendChoice, attempt: number): Promise<CallResult> {
+        const { calls, clock, onAttempt, views } = this.options;
+        const { instanceId, nodeId } = choice;
+        const startedMs = clock.monotonicMs();
+        const order: CallOrder = {
+            ...call.order,
+            instanceId,
+            remainingMs: Math.floor(call.deadlineMs - startedMs),
+            targetRemainingMs: Math.floor(call.arrivedMs + call.route.targetLatencyMs - startedMs),
+        };
+        views.begin(nodeId, instanceId);
+        const result = await calls.send(nodeId, choice.address, order, call.signal);
+        const endedMs = clock.monotonicMs();
+        views.end(nodeId, instanceId, result, endedMs);
+        const { requestId } = call.order;
+        onAttempt({ requestId, route: call.route.name, choice, result, elapsedMs: endedMs - startedMs, attempt });
+        return result;
+    }
+
+    private mayRepeat(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
+        const { allowance, clock } = this.options;
+        const { route, signal } = call;
+        const nowMs = clock.monotonicMs();
+        if (signal.aborted || call.deadlineMs - nowMs < MINIMUM_ATTEMPT_MS) {
+            return false;
+        }
+        const failed = result.kind === "answered" && result.answer.status >= 500;
+        if (result.kind === "answered" && !failed) {
+            return false;
+        }
+        if (result.kind !== "not-run" && !route.idempotent) {
+            return false;
+        }
+        if (sent >= route.maximumAttempts || refusals > MAXIMUM_REFUSALS) {
+            return false;
+        }
+        return sent === 0 || repeatBudget.mayRepeat(this.budgetOf(call), allowance, nowMs);
+    }
+}
--- /dev/null
+++ b/src/calls/IngressServer.ts
@@ -0,0 +1,260 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { MeshRoute } from "../configuration/MeshRoute";
+import { Clock } from "../core/Clock";
+import { Disposable } from "../core/Disposable";
+import { listenHttp } from "../transport/listenHttp";
+import { SocketAddress } from "../transport/SocketAddress";
+import { CallAnswer } from "./CallAnswer";
+import { CallDispatcher } from "./CallDispatcher";
+import { CallResult } from "./CallResult";
+import { connectionHeaders } from "./connectionHeaders";
+import { HeaderNames } from "./HeaderNames";
+
+/** What the side that callers see is built from. */
+type IngressOptions = {
+    readonly names: HeaderNames;
+    readonly clock: Clock;
+    readonly dispatcher: CallDispatcher;
+    /** The service of the backend server on this host. */
+    readonly callerService: string;
+    /** Undefined until this node has a configuration. */
+    readonly findRoute: (host: string, target: string) => RouteAnswer | undefined;
+    readonly chooseService: (route: MeshRoute) => string;
+    readonly onRefusal: (refusal: RefusedRequest) => void;
+    readonly onServed: (route: string, status: number, elapsedMs: number) => void;
+};
+
+type RouteAnswer = {
+    readonly route: MeshRoute | undefined;
+    readonly configurationVersion: number;
+    readonly maximumBodyBytes: number;
+};
+
+/** A request that this node answered itself, and why. */
+type RefusedRequest = {
+    readonly requestId: string;
+    readonly route: string | undefined;
+    readonly configurationVersion: number;
+    readonly status: number;
+    readonly reason: string;
+    readonly elapsedMs: number;
+    readonly remainingMs: number;
+};
+
+type Refusal = {
+    readonly status: number;
+    readonly reason: string;
+    readonly retryAfterMs?: number;
+};
+
+/** Heads larger than this are answered 431. */
+const MAXIMUM_HEADER_BYTES = 65_536;
+
+/** Bodies are held in memory while the request is forwarded; larger ones are answered 413. */
+const MAXIMUM_HELD_BYTES = 8_388_608;
+
+/** Without a configuration, callers come back after this time: a node gets one within a second. */
+const STARTING_RETRY_AFTER_MS = 500;
+
+/** Callers of a service that has no room come back after at least this time. */
+const MINIMUM_RETRY_AFTER_MS = 50;
+
+const notRunStatus: Refusal = { status: 503, reason: "not-run" };
+
+const refusalOf = (result: Exclude<CallResult, { readonly kind: "answered"; }>): Refusal => {
+    if (result.kind === "not-run") {
+        const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, result.retryAfterMs);
+        return { ...notRunStatus, reason: result.reason, retryAfterMs };
+    }
+    return { status: result.reason === "timed-out" ? 504 : 502, reason: result.reason };
+};
+
+/** Serves the callers of this host: finds the route, forwards and answers. It never waits for control. */
+export class IngressServer implements Disposable {
+    private readonly server: Server;
+    private readonly removedHeaders: ReadonlySet<string>;
+    private active = 0;
+    private stopping = false;
+
+    public constructor(private readonly options: IngressOptions) {
+        const { callerService, deadlineMs, expectedInstance } = options.names;
+        this.removedHeaders = new Set([callerService, deadlineMs, expectedInstance]);
+        this.server = createServer(
+            { maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAlive: true },
+            (request, response) => void this.serve(request, response),
+        );
+        this.server.requestTimeout = 0;
+    }
+
+    public get activeRequests(): number {
+        return this.active;
+    }
+
+    public listen(address: SocketAddress): Promise<SocketAddress> {
+        return listenHttp(this.server, address);
+    }
+
+    /** Follows the limits of the configuration in force. */
+    public follow(limits: { readonly headerTimeoutMs: number; readonly idleTimeoutMs: number; }): void {
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.server.headersTimeout = limits.idleTimeoutMs + limits.headerTimeoutMs;
+    }
+
+    /** Asks callers to open no further requests on their connections; serves all that still come. */
+    public drain(): void {
+        this.stopping = true;
+    }
+
+    public dispose(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        this.active += 1;
+        response.once("close", () => {
+            this.active -= 1;
+        });
+        if (this.stopping) {
+            response.setHeader("Connection", "close");
+        }
+        const arrivedMs = this.options.clock.monotonicMs();
+        try {
+            await this.handle(request, response, arrivedMs);
+        }
+        catch (error) {
+            // The caller's connection failed while its request was read or answered.
+            this.note(request, undefined, 0, { status: 0, reason: (error as Error).message }, arrivedMs, 0);
+            response.destroy();
+        }
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse, arrivedMs: number): Promise<void> {
+        const { findRoute } = this.options;
+        const found = findRoute(request.headers.host ?? "", request.url ?? "/");
+        const body = await this.readBody(request, found?.maximumBodyBytes ?? MAXIMUM_HELD_BYTES);
+        const refuse = (refusal: Refusal, remainingMs = 0): void => {
+            this.note(request, found?.route, found?.configurationVersion ?? 0, refusal, arrivedMs, remainingMs);
+            this.sendRefusal(request, response, refusal);
+        };
+        if (!found) {
+            refuse({ status: 503, reason: "no-configuration", retryAfterMs: STARTING_RETRY_AFTER_MS });
+            return;
+        }
+        if (!found.route) {
+            refuse({ status: 404, reason: "no-route" });
+            return;
+        }
+        if (!body) {
+            refuse({ status: 413, reason: "body-too-large" });
+            return;
+        }
+        await this.forward(request, response, found.route, body, arrivedMs, refuse);
+    }
+
+    private async forward(
+        request: IncomingMessage,
+        response: ServerResponse,
+        route: MeshRoute,
+        body: Buffer,
+        arrivedMs: number,
+        refuse: (refusal: Refusal, remainingMs: number) => void,
+    ): Promise<void> {
+        const { callerService, chooseService, clock, dispatcher, names, onServed } = this.options;
+        const stated = Number(this.header(request, names.deadlineMs));
+        const deadlineMs = arrivedMs + Math.min(route.timeoutMs, stated > 0 ? stated : route.timeoutMs);
+        const caller = new AbortController();
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                caller.abort();
+            }
+        });
+        const service = chooseService(route);
+        const result = await dispatcher.dispatch({
+            route,
+            service,
+            order: {
+                requestId: this.header(request, names.requestId) ?? "",
+                service,
+                callerService,
+                method: request.method ?? "GET",
+                target: request.url ?? "/",
+                headers: connectionHeaders.remove(request.rawHeaders, this.removedHeaders),
+                body,
+                priority: route.priority,
+            },
+            arrivedMs,
+            deadlineMs,
+            signal: caller.signal,
+        });
+        if (result.kind === "answered") {
+            onServed(route.name, result.answer.status, clock.monotonicMs() - arrivedMs);
+            this.sendAnswer(request, response, result.answer);
+            return;
+        }
+        refuse(refusalOf(result), deadlineMs - clock.monotonicMs());
+    }
+
+    private header({ headers }: IncomingMessage, name: string): string | undefined {
+        const value = headers[name];
+        return Array.isArray(value) ? value[0] : value;
+    }
+
+    /** Returns undefined if the body is too large; the rest of it is read and dropped. */
+    private async readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
+        const limit = Math.min(maximumBytes, MAXIMUM_HELD_BYTES);
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        for await (const chunk of request) {
+            bytes += (chunk as Buffer).length;
+            if (bytes <= limit) {
+                chunks.push(chunk as Buffer);
+            }
+        }
+        return bytes <= limit ? Buffer.concat(chunks) : undefined;
+    }
+
+    private sendAnswer(request: IncomingMessage, response: ServerResponse, answer: CallAnswer): void {
+        const { body, headers, reason, status } = answer;
+        const isBodiless = request.method === "HEAD" || status === 204 || status === 304;
+        const length = isBodiless ? [] : ["Content-Length", String(body.length)];
+        const closing = this.stopping ? ["Connection", "close"] : [];
+        response.writeHead(status, reason, [...headers, ...length, ...closing]);
+        response.end(isBodiless ? undefined : body);
+    }
+
+    private sendRefusal(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+        const { reason, retryAfterMs, status } = refusal;
+        const requestId = this.header(request, this.options.names.requestId);
+        if (requestId !== undefined) {
+            response.setHeader(this.options.names.requestId, requestId);
+        }
+        if (retryAfterMs !== undefined) {
+            response.setHeader("Retry-After", (retryAfterMs / 1_000).toFixed(3));
+        }
+        const text = `${JSON.stringify({ error: reason })}\n`;
+        response.setHeader("Content-Type", "application/json");
+        response.setHeader("Content-Length", String(Buffer.byteLength(text)));
+        response.writeHead(status);
+        response.end(text);
+    }
+
+    private note(
+        request: IncomingMessage,
+        route: MeshRoute | undefined,
+        configurationVersion: number,
+        { reason, status }: Refusal,
+        arrivedMs: number,
+        remainingMs: number,
+    ): void {
+        this.options.onRefusal({
+            requestId: this.header(request, this.options.names.requestId) ?? "",
+            route: route?.name,
+            configurationVersion,
+            status,
+            reason,
+            elapsedMs: Math.round(this.options.clock.monotonicMs() - arrivedMs),
+            remainingMs: Math.round(remainingMs),
+        });
+    }
+}
--- /dev/null
+++ b/src/calls/pickBackend.ts
@@ -0,0 +1,89 @@
+import { RandomSource } from "../core/RandomSource";
+import { BackendChoice } from "./BackendChoice";
+import { BackendView } from "./BackendView";
+
+/** What a choice is made from. */
+type PickQuestion = {
+    readonly choices: readonly BackendChoice[];
+    readonly viewOf: (choice: BackendChoice) => BackendView;
+    readonly ownZone: string;
+    /** Nodes that were tried already. */
+    readonly tried: ReadonlySet<string>;
+    readonly nowMs: number;
+    readonly random: RandomSource;
+};
+
+/** Backend servers of other zones that are looked at: more would all rush to the same free slot. */
+const SAMPLE_OF_OTHER_ZONES = 2;
+
+/** What crossing zones must save at least: the way there and back, and the price of the bytes. */
+const ZONE_PENALTY_MS = 60;
+
+/** Assumed while nothing has been heard of a backend server. */
+const DEFAULT_SERVICE_MS = 50;
+
+/** Many backend servers slow down as they fill: this much of the service time at full slots. */
+const FULLNESS_SHARE = 0.3;
+
+/** A failure costs the caller about this much: the attempt, and another one elsewhere. */
+const FAILURE_PENALTY_MS = 1_000;
+
+/** What was heard of others' load and of failures loses half of its weight in this time. */
+const HALF_LIFE_MS = 2_000;
+
+/** After a failure to reach it, a node is left alone this long, doubled with each further one. */
+const UNREACHABLE_BASE_MS = 250;
+const UNREACHABLE_LIMIT_MS = 2_000;
+
+/** Work takes about twice as long during slow start. */
+const COLD_FACTOR = 2;
+
+const isHeldBack = ({ heardMs, unreachableInARow }: BackendView, nowMs: number): boolean => {
+    if (unreachableInARow === 0) {
+        return false;
+    }
+    const pauseMs = Math.min(UNREACHABLE_LIMIT_MS, UNREACHABLE_BASE_MS * 2 ** (unreachableInARow - 1));
+    return nowMs - heardMs < pauseMs;
+};
+
+/** The expected time until an answer comes from this backend server, with penalties in the same unit. */
+const expectedMs = (question: PickQuestion, choice: BackendChoice): number => {
+    const { nowMs, ownZone, viewOf } = question;
+    const view = viewOf(choice);
+    const fade = 0.5 ** ((nowMs - view.heardMs) / HALF_LIFE_MS);
+    const serviceMs = (view.serviceMs ?? DEFAULT_SERVICE_MS) * (nowMs < choice.warmAtMs ? COLD_FACTOR : 1);
+    const load = view.outstanding + view.others * fade;
+    const waitMs = (serviceMs * Math.max(0, load + 1 - choice.slots)) / choice.slots;
+    const fullnessMs = serviceMs * FULLNESS_SHARE * Math.min(1, load / choice.slots);
+    const failureMs = view.failureShare * fade * FAILURE_PENALTY_MS;
+    const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS;
+    return serviceMs + waitMs + fullnessMs + failureMs + zoneMs;
+};
+
+/** All of the own zone and a random few of the others. */
+const sample = (choices: readonly BackendChoice[], ownZone: string, random: RandomSource): readonly BackendChoice[] => {
+    const own = choices.filter(({ zone }) => zone === ownZone);
+    const others = choices.filter(({ zone }) => zone !== ownZone);
+    const drawn = new Set<BackendChoice>();
+    for (let draw = 0; draw < SAMPLE_OF_OTHER_ZONES && others.length > 0; draw += 1) {
+        drawn.add(random.pick(others));
+    }
+    return [...own, ...drawn];
+};
+
+/** Chooses the backend server from which an answer is expected soonest, or undefined if none may be tried. */
+export const pickBackend = (question: PickQuestion): BackendChoice | undefined => {
+    const { choices, nowMs, ownZone, random, tried, viewOf } = question;
+    const untried = choices.filter(({ nodeId }) => !tried.has(nodeId));
+    const reachable = untried.filter((choice) => !isHeldBack(viewOf(choice), nowMs));
+    let best: BackendChoice | undefined;
+    let bestMs = Infinity;
+    for (const choice of sample(reachable.length > 0 ? reachable : untried, ownZone, random)) {
+        const costMs = expectedMs(question, choice);
+        if (costMs < bestMs) {
+            best = choice;
+            bestMs = costMs;
+        }
+    }
+    return best;
+};
--- a/src/cli/__tests__/unreachable.test.ts
+++ b/src/cli/__tests__/unreachable.test.ts
@@ -2,7 +2,7 @@
 import { ExitCode } from "../ExitCode";
 import { runCommandLine } from "../runCommandLine";
 
-const EXAMPLE = resolve(__dirname, "..", "..", "..", "examples", "lipa-map.yaml");
+const EXAMPLE = resolve(__dirname, "..", "..", "..", "..", "examples", "lipa-map.yaml");
 
 describe("the command line without control", () => {
     test.each([
--- /dev/null
+++ b/src/configuration/configurationDeltas.ts
@@ -0,0 +1,83 @@
+import { digestOf } from "../core/digestOf";
+import { ConfigurationDelta } from "./ConfigurationDelta";
+import { MeshConfiguration } from "./MeshConfiguration";
+
+type Named = { readonly name: string; };
+
+const DIGEST_MODULUS = 1n << 128n;
+
+/** Routes and services are kept as they are from one version to the next, so most are hashed only once. */
+const itemDigests = new WeakMap<object, bigint>();
+
+const itemDigest = (item: object): bigint => {
+    const known = itemDigests.get(item);
+    if (known !== undefined) {
+        return known;
+    }
+    const value = BigInt(`0x${digestOf(item)}`);
+    itemDigests.set(item, value);
+    return value;
+};
+
+/** A sum of digests, because the order of routes and services has no meaning. */
+const digest = ({ limits, routes, services, version }: MeshConfiguration): string => {
+    let sum = BigInt(`0x${digestOf({ version, limits })}`);
+    for (const item of [...routes, ...services]) {
+        sum += itemDigest(item);
+    }
+    return (sum % DIGEST_MODULUS).toString(16);
+};
+
+const changedItems = <Item extends Named>(before: readonly Item[], after: readonly Item[]): readonly Item[] => {
+    const known = new Map(before.map((item) => [item.name, item]));
+    return after.filter((item) => {
+        const present = known.get(item.name);
+        return !present || itemDigest(present) !== itemDigest(item);
+    });
+};
+
+const removedNames = (before: readonly Named[], after: readonly Named[]): readonly string[] => {
+    const present = new Set(after.map(({ name }) => name));
+    return before.map(({ name }) => name).filter((name) => !present.has(name));
+};
+
+const applyItems = <Item extends Named>(
+    before: readonly Item[],
+    removed: readonly string[],
+    changed: readonly Item[],
+): readonly Item[] => {
+    const items = new Map(before.map((item) => [item.name, item]));
+    removed.forEach((name) => items.delete(name));
+    changed.forEach((item) => items.set(item.name, item));
+    return [...items.values()];
+};
+
+/** The difference between two configurations; without an older one, the whole of the newer one. */
+const between = (before: MeshConfiguration | undefined, after: MeshConfiguration): ConfigurationDelta => ({
+    fromVersion: before?.version ?? 0,
+    version: after.version,
+    removedRoutes: removedNames(before?.routes ?? [], after.routes),
+    changedRoutes: changedItems(before?.routes ?? [], after.routes),
+    removedServices: removedNames(before?.services ?? [], after.services),
+    changedServices: changedItems(before?.services ?? [], after.services),
+    limits: after.limits,
+    digest: digest(after),
+});
+
+/** Applies a delta. Returns undefined if it is for another version or does not lead to the digest that it states. */
+const apply = (before: MeshConfiguration | undefined, delta: ConfigurationDelta): MeshConfiguration | undefined => {
+    if (delta.fromVersion !== 0 && delta.fromVersion !== before?.version) {
+        return undefined;
+    }
+    const base = delta.fromVersion === 0 ? undefined : before;
+    const after: MeshConfiguration = {
+        version: delta.version,
+        routes: applyItems(base?.routes ?? [], delta.removedRoutes, delta.changedRoutes),
+        services: applyItems(base?.services ?? [], delta.removedServices, delta.changedServices),
+        limits: delta.limits,
+    };
+    return digest(after) === delta.digest ? after : undefined;
+};
+
+/** Differences between configurations: what distribution sends costs by what changed, not by the size of the whole. */
+export const configurationDeltas = { between, apply, digest } as const;
--- a/src/core/EventLog.ts
+++ b/src/core/EventLog.ts
@@ -6,6 +6,11 @@
 /** The fields of one event. Undefined fields are left out. */
 type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Where lines go. */
+type LogOutput = {
+    readonly write: (line: string) => unknown;
+};
+
 /** Writes one line of key=value pairs an event, stamped with the hybrid logical clock. */
 export class EventLog {
     private readonly logger: pino.Logger;
@@ -13,7 +18,7 @@
     public constructor(
         private readonly processName: string,
         private readonly hybridClock: HybridClock,
-        output: NodeJS.WritableStream = process.stdout,
+        output: LogOutput = process.stdout,
         level = "info",
     ) {
         const options = { base: undefined, timestamp: false, level };
--- /dev/null
+++ b/src/deployment/ConfigurationPublisher.ts
@@ -0,0 +1,88 @@
+import { ConfigurationDelta } from "../configuration/ConfigurationDelta";
+import { configurationDeltas } from "../configuration/configurationDeltas";
+import { MeshConfiguration } from "../configuration/MeshConfiguration";
+import { Evidence } from "../distribution/Evidence";
+import { Channel } from "../transport/Channel";
+import { PeerNetwork } from "../transport/PeerNetwork";
+import { ConfigurationMessage } from "./ConfigurationMessage";
+import { DeploymentState } from "./DeploymentState";
+import { emptyDeployment } from "./emptyDeployment";
+
+type Subscriber = {
+    readonly send: (message: ConfigurationMessage) => void;
+};
+
+/** Versions kept to compute differences from: a node that missed more gets the whole configuration. */
+const KEPT_VERSIONS = 64;
+
+/** Tells nodes of each change, and sends them the difference to what they hold when they ask. */
+export class ConfigurationPublisher {
+    private readonly subscribers = new Map<object, Subscriber>();
+    private readonly versions = new Map<number, MeshConfiguration>();
+    private readonly deltas = new Map<number, ConfigurationDelta>();
+    private state: DeploymentState = emptyDeployment;
+
+    public constructor(network: PeerNetwork, private readonly onEvidence: (evidence: readonly Evidence[]) => void) {
+        network.handle(Channel.Configuration, {
+            onMessage: (remote, body) => {
+                const send = (message: ConfigurationMessage): void => void remote.send(message);
+                this.receive(remote, send, body as ConfigurationMessage);
+            },
+            onClose: (remote) => this.subscribers.delete(remote),
+        });
+    }
+
+    public get subscriberCount(): number {
+        return this.subscribers.size;
+    }
+
+    /** Takes in a state that is committed. */
+    public publish(state: DeploymentState): void {
+        const { configuration } = state;
+        if (configuration && configuration.version !== this.state.configuration?.version) {
+            this.versions.set(configuration.version, configuration);
+            this.deltas.clear();
+            const surplus = [...this.versions.keys()].slice(0, -KEPT_VERSIONS);
+            surplus.forEach((version) => this.versions.delete(version));
+        }
+        this.state = state;
+        const message = this.stateMessage();
+        this.subscribers.forEach(({ send }) => send(message));
+    }
+
+    private stateMessage(): ConfigurationMessage {
+        const { configuration, moves, revision } = this.state;
+        return {
+            kind: "state",
+            revision,
+            configurationVersion: configuration?.version ?? 0,
+            moves: [...moves.values()],
+        };
+    }
+
+    private receive(key: object, send: (message: ConfigurationMessage) => void, message: ConfigurationMessage): void {
+        switch (message.kind) {
+            case "subscribe":
+                this.subscribers.set(key, { send });
+                send(this.stateMessage());
+                return;
+            case "fetch":
+                this.sendDelta(send, message.heldVersion);
+                return;
+            case "evidence":
+                this.onEvidence(message.evidence);
+                return;
+        }
+    }
+
+    private sendDelta(send: (message: ConfigurationMessage) => void, heldVersion: number): void {
+        const { configuration } = this.state;
+        if (!configuration || heldVersion >= configuration.version) {
+            return;
+        }
+        const delta = this.deltas.get(heldVersion)
+            ?? configurationDeltas.between(this.versions.get(heldVersion), configuration);
+        this.deltas.set(heldVersion, delta);
+        send({ kind: "delta", delta });
+    }
+}
--- /dev/null
+++ b/src/deployment/ServiceMoveState.ts
@@ -0,0 +1,6 @@
+/** Where a move stands. The last two are final. */
+export enum ServiceMoveState {
+    Running = "running",
+    Finished = "finished",
+    TakenBack = "taken-back",
+}
--- /dev/null
+++ b/src/deployment/applyDeploymentCommand.ts
@@ -0,0 +1,100 @@
+import { configurationDeltas } from "../configuration/configurationDeltas";
+import { findConfigurationFault } from "../configuration/findConfigurationFault";
+import { DeploymentAnswer } from "./DeploymentAnswer";
+import { DeploymentCommand } from "./DeploymentCommand";
+import { DeploymentState } from "./DeploymentState";
+import { ServiceMoveState } from "./ServiceMoveState";
+
+type Result = {
+    readonly state: DeploymentState;
+    readonly answer: DeploymentAnswer;
+};
+
+type PutCommand = DeploymentCommand & { readonly kind: "put-configuration"; };
+type StartCommand = DeploymentCommand & { readonly kind: "start-move"; };
+type MoveCommand = DeploymentCommand & { readonly kind: "change-share" | "end-move"; };
+
+/** Digests kept: many days of changes at 5,800 a day would need more; older ones are forgotten first. */
+const MAXIMUM_DIGESTS = 20_000;
+
+/** An order that is the same as the one before it and follows within this time is a repetition. */
+const REPETITION_WINDOW_MS = 15_000;
+
+const accepted = (state: DeploymentState): Result => ({
+    state,
+    answer: { kind: "accepted", revision: state.revision },
+});
+
+const putConfiguration = (state: DeploymentState, { baseVersion, configuration }: PutCommand): Result => {
+    const digest = configurationDeltas.digest(configuration);
+    if (state.acceptedDigests.has(digest)) {
+        return accepted(state);
+    }
+    const currentVersion = state.configuration?.version ?? 0;
+    if (baseVersion !== currentVersion) {
+        return { state, answer: { kind: "conflict", currentVersion } };
+    }
+    const isNewer = configuration.version > currentVersion;
+    const fault = isNewer
+        ? findConfigurationFault(configuration)
+        : `its version must be above ${currentVersion}, the current one`;
+    if (fault) {
+        return { state, answer: { kind: "invalid", fault } };
+    }
+    const digests = [...state.acceptedDigests, digest].slice(-MAXIMUM_DIGESTS);
+    return accepted({
+        ...state,
+        revision: state.revision + 1,
+        configuration,
+        acceptedDigests: new Set(digests),
+    });
+};
+
+const startMove = (state: DeploymentState, command: StartCommand): Result => {
+    const { atMs, durationMs, service, targetVersion } = command;
+    if (!state.configuration?.services.some(({ name }) => name === service)) {
+        return { state, answer: { kind: "invalid", fault: `there is no service ${service}` } };
+    }
+    const present = state.moves.get(service);
+    const isRepetition = present?.targetVersion === targetVersion
+        && (present.state === ServiceMoveState.Running || atMs - present.acceptedAtMs < REPETITION_WINDOW_MS);
+    if (isRepetition) {
+        return accepted(state);
+    }
+    const revision = state.revision + 1;
+    const move = {
+        id: revision,
+        service,
+        targetVersion,
+        state: ServiceMoveState.Running,
+        share: 0,
+        durationMs,
+        acceptedAtMs: atMs,
+        reason: "",
+    };
+    return accepted({ ...state, revision, moves: new Map(state.moves).set(service, move) });
+};
+
+const changeMove = (state: DeploymentState, command: MoveCommand): Result => {
+    const present = state.moves.get(command.service);
+    if (!present || present.id !== command.moveId || present.state !== ServiceMoveState.Running) {
+        return { state, answer: { kind: "stale" } };
+    }
+    const revision = state.revision + 1;
+    const changed = command.kind === "change-share"
+        ? { ...present, share: command.share }
+        : { ...present, state: command.state, reason: command.reason };
+    return accepted({ ...state, revision, moves: new Map(state.moves).set(command.service, changed) });
+};
+
+/** Applies a command to the deployment. The same state and command give the same result on every replica. */
+export const applyDeploymentCommand = (state: DeploymentState, command: DeploymentCommand): Result => {
+    switch (command.kind) {
+        case "put-configuration":
+            return putConfiguration(state, command);
+        case "start-move":
+            return startMove(state, command);
+        default:
+            return changeMove(state, command);
+    }
+};
--- /dev/null
+++ b/src/deployment/createDeploymentControl.ts
@@ -0,0 +1,173 @@
+import { ConsensusStatus } from "../consensus/ConsensusStatus";
+import { ConsensusTask } from "../consensus/ConsensusTask";
+import { FileReplicaStore } from "../consensus/FileReplicaStore";
+import { Membership } from "../consensus/Membership";
+import { Role } from "../consensus/Role";
+import { PeerReplicaTransport } from "../control/PeerReplicaTransport";
+import { Disposable } from "../core/Disposable";
+import { DisposableStore } from "../core/DisposableStore";
+import { EventLog } from "../core/EventLog";
+import { hashNumber } from "../core/hashNumber";
+import { HybridClock } from "../core/HybridClock";
+import { openLogOutput } from "../core/openLogOutput";
+import { RandomSource } from "../core/RandomSource";
+import { SystemClock } from "../core/SystemClock";
+import { membershipChanges } from "../membership/membershipChanges";
+import { MembershipTask } from "../membership/MembershipTask";
+import { MemberStatus } from "../membership/MemberStatus";
+import { parseAddress } from "../transport/parseAddress";
+import { PeerNetwork } from "../transport/PeerNetwork";
+import { SocketAddress } from "../transport/SocketAddress";
+import { ConfigurationPublisher } from "./ConfigurationPublisher";
+import { controlAddresses } from "./controlAddresses";
+import { DeploymentAdministration } from "./DeploymentAdministration";
+import { DeploymentCommand } from "./DeploymentCommand";
+import { DeploymentControlSettings } from "./DeploymentControlSettings";
+import { DeploymentStateMachine } from "./DeploymentStateMachine";
+import { GroupTask } from "./GroupTask";
+import { readReplicaId } from "./readReplicaId";
+import { ServiceMoveTask } from "./ServiceMoveTask";
+
+/** A running control replica of a deployment. */
+type DeploymentControl = Disposable & {
+    readonly administration: DeploymentAdministration;
+    readonly log: EventLog;
+    readonly followSeeds: (seeds: readonly string[]) => void;
+    readonly stop: () => Promise<void>;
+};
+
+/** The log is compacted after this many entries: a snapshot is as large as a few of them. */
+const SNAPSHOT_EVERY_ENTRIES = 64;
+
+/** Parts of the election time-out: a follower misses several heartbeats before it stands for election. */
+const HEARTBEATS_PER_ELECTION = 5;
+
+const peerAddressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
+
+const firstMembership = (seeds: readonly string[], isFounder: boolean): Membership => ({
+    voters: isFounder ? seeds.map((address) => ({ id: address, address })) : [],
+    learners: [],
+});
+
+/** Wires a control replica of a deployment and starts it. `onFatal` is called when its disk can't be trusted. */
+export const createDeploymentControl = async (
+    settings: DeploymentControlSettings,
+    onFatal: (error: Error) => void,
+): Promise<DeploymentControl> => {
+    const { dataFolder, electionTimeoutMs, isFirstStart, peerAddress, secret, zone } = settings;
+    let { seeds } = settings;
+    const isFounder = isFirstStart && seeds.includes(peerAddress);
+    const replicaId = await readReplicaId(dataFolder, peerAddress, isFounder ? peerAddress : undefined);
+    const resources = new DisposableStore();
+    const clock = new SystemClock();
+    const hybridClock = new HybridClock(clock);
+    const output = openLogOutput();
+    const log = new EventLog(settings.id, hybridClock, output);
+    const random = new RandomSource(hashNumber(`${replicaId}/${process.hrtime.bigint()}`));
+    const localHost = peerAddressOf(peerAddress).host;
+    const network = resources.add(new PeerNetwork({ identity: replicaId, secret, localHost, hybridClock, random }));
+
+    const publisher = new ConfigurationPublisher(network, (evidence) => moves.observe(evidence));
+    const stateMachine = new DeploymentStateMachine((state) => {
+        publisher.publish(state);
+        const { configuration, revision } = state;
+        log.info("deployment-changed", { revision, configurationVersion: configuration?.version });
+    });
+
+    let lastRole = "";
+    const onChange = ({ leaderId, role, term }: ConsensusStatus): void => {
+        moves.lead(role === Role.Leader);
+        const key = `${role}/${term}/${leaderId}`;
+        if (key !== lastRole) {
+            lastRole = key;
+            log.info("role-changed", { role, term, leader: leaderId });
+        }
+    };
+    const transport = new PeerReplicaTransport(
+        replicaId,
+        network,
+        (from, message) => consensus.receive(from, message),
+    );
+    const consensus: ConsensusTask = resources.add(
+        new ConsensusTask({
+            id: replicaId,
+            firstMembership: firstMembership(seeds, isFounder),
+            store: new FileReplicaStore(dataFolder),
+            transport,
+            stateMachine,
+            timings: {
+                electionTimeoutMs,
+                heartbeatIntervalMs: electionTimeoutMs / HEARTBEATS_PER_ELECTION,
+                quorumCheckMs: electionTimeoutMs,
+            },
+            random,
+            snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+            onChange,
+            onFailure: (error) => {
+                log.error("disk-failed", { reason: error.message });
+                output.close();
+                onFatal(error);
+            },
+        }),
+    );
+    const propose = (command: DeploymentCommand) => consensus.propose(command);
+    const moves: ServiceMoveTask = resources.add(
+        new ServiceMoveTask({ clock, log, state: () => stateMachine.state, propose }),
+    );
+    const group = resources.add(
+        new GroupTask({
+            own: { id: replicaId, address: peerAddress },
+            network,
+            log,
+            status: () => consensus.status(),
+            changeMembership: (change) => consensus.changeMembership(change),
+        }),
+    );
+    await consensus.start();
+    await network.listen(peerAddressOf(peerAddress));
+    const membership = resources.add(
+        new MembershipTask({
+            own: {
+                id: settings.id,
+                zone,
+                incarnation: clock.wallMs(),
+                sequence: 1,
+                status: MemberStatus.Alive,
+                peerAddress,
+                inboundAddress: "",
+                isControl: true,
+                endpoints: [],
+            },
+            network,
+            seeds: seeds.map(peerAddressOf),
+            clock,
+            log,
+            ownFloor: () => stateMachine.state.revision,
+            onChange: (state) => group.follow(controlAddresses(state, seeds)),
+            onFloor: () => undefined,
+        }),
+    );
+    group.follow(controlAddresses(membership.present, seeds));
+    log.info("control-started", { zone, peerAddress, replicaId, isFounder, seeds: seeds.join(",") });
+
+    const administration = new DeploymentAdministration({
+        clock,
+        log,
+        state: () => stateMachine.state,
+        status: () => consensus.status(),
+        propose,
+        readBarrier: () => consensus.readBarrier(),
+    });
+    const stop = async (): Promise<void> => {
+        log.info("control-stopped", { members: membershipChanges.present(membership.present).length });
+        membership.leave();
+        await resources.dispose();
+        output.close();
+    };
+    const followSeeds = (next: readonly string[]): void => {
+        seeds = next;
+        membership.followSeeds(next.map(peerAddressOf));
+        group.follow(controlAddresses(membership.present, next));
+    };
+    return { administration, log, followSeeds, stop, dispose: stop };
+};
--- /dev/null
+++ b/src/deployment/createDeploymentNode.ts
@@ -0,0 +1,290 @@
+import { backendChoices } from "../calls/backendChoices";
+import { BackendClient } from "../calls/BackendClient";
+import { BackendViews } from "../calls/BackendViews";
+import { CallDispatcher } from "../calls/CallDispatcher";
+import { CallReceiver } from "../calls/CallReceiver";
+import { CallTask } from "../calls/CallTask";
+import { chooseVersions } from "../calls/chooseVersions";
+import { IngressServer } from "../calls/IngressServer";
+import { LocalInstance } from "../calls/LocalInstance";
+import { localInstances } from "../calls/localInstances";
+import { RouteIndex } from "../configuration/RouteIndex";
+import { Disposable } from "../core/Disposable";
+import { DisposableStore } from "../core/DisposableStore";
+import { EventLog } from "../core/EventLog";
+import { hashNumber } from "../core/hashNumber";
+import { HybridClock } from "../core/HybridClock";
+import { openLogOutput } from "../core/openLogOutput";
+import { pause } from "../core/pause";
+import { RandomSource } from "../core/RandomSource";
+import { SystemClock } from "../core/SystemClock";
+import { EndpointState } from "../membership/EndpointState";
+import { membershipChanges } from "../membership/membershipChanges";
+import { MembershipState } from "../membership/MembershipState";
+import { MembershipTask } from "../membership/MembershipTask";
+import { MemberStatus } from "../membership/MemberStatus";
+import { EvidenceRecorder } from "../proxy/EvidenceRecorder";
+import { parseAddress } from "../transport/parseAddress";
+import { PeerNetwork } from "../transport/PeerNetwork";
+import { SocketAddress } from "../transport/SocketAddress";
+import { attemptOutcome } from "./attemptOutcome";
+import { ConfigurationSubscriber } from "./ConfigurationSubscriber";
+import { controlAddresses } from "./controlAddresses";
+import { DeploymentNodeSettings } from "./DeploymentNodeSettings";
+import { LocalBackendAdministration } from "./LocalBackendAdministration";
+import { moveVersions } from "./moveVersions";
+import { ServiceMove } from "./ServiceMove";
+import { ServiceMoveState } from "./ServiceMoveState";
+
+/** A running node of a deployment. */
+type DeploymentNode = Disposable & {
+    readonly backend: LocalBackendAdministration;
+    readonly log: EventLog;
+    readonly followSeeds: (seeds: readonly string[]) => void;
+    /** Graceful shutdown: finishes what callers sent, then leaves. */
+    readonly stop: () => Promise<void>;
+};
+
+/** How often evidence on moves goes to control. */
+const EVIDENCE_INTERVAL_MS = 250;
+
+/** Part of the drain time after which a leaving backend server gets nothing more: the rest covers the way there. */
+const DRAIN_SHARE = 0.6;
+
+/** Part of each node in the common budget of repetitions: the sum over nodes stays below the whole. */
+const REPEAT_SHARE = 0.5;
+
+/** After the stop signal, callers of this host keep coming until the platform has noticed: two of its questions. */
+const STOP_NOTICE_MS = 2_500;
+
+/** What is still under way this long before the process is killed is given up. */
+const STOP_RESERVE_MS = 400;
+const STOP_CHECK_MS = 50;
+
+const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
+
+/** Wires a node of a deployment and starts it. */
+export const createDeploymentNode = async (settings: DeploymentNodeSettings): Promise<DeploymentNode> => {
+    const { headerNames, peerAddress, secret, service: ownService, zone } = settings;
+    let { seeds } = settings;
+    const resources = new DisposableStore();
+    const clock = new SystemClock();
+    const hybridClock = new HybridClock(clock);
+    const output = openLogOutput();
+    const log = new EventLog(settings.id, hybridClock, output);
+    const random = new RandomSource(hashNumber(`${settings.id}/${process.hrtime.bigint()}`));
+    const localHost = addressOf(peerAddress).host;
+    const network = resources.add(
+        new PeerNetwork({ identity: settings.id, secret, localHost, hybridClock, random }),
+    );
+
+    // The route index, the moves and the choices are replaced whole; a request reads each once.
+    let routes:
+        | { readonly index: RouteIndex; readonly version: number; readonly maximumBodyBytes: number; }
+        | undefined;
+    let moves: ReadonlyMap<string, ServiceMove> = new Map();
+    let choices: ReturnType<typeof backendChoices> = new Map();
+    let stopping = false;
+
+    const client = resources.add(new BackendClient(headerNames));
+    const receiver = new CallReceiver({
+        clock,
+        client,
+        leavingGraceMs: settings.drainMs * DRAIN_SHARE,
+        onDecision: ({ requestId, service }, result, details) => {
+            const reason = result.kind === "answered" ? undefined : result.reason;
+            log.warn("call-not-served", { request: requestId, service, outcome: result.kind, reason, ...details });
+        },
+    });
+    const views = new BackendViews();
+    const calls = resources.add(
+        new CallTask({
+            ownId: settings.id,
+            network,
+            receiver,
+            onLoad: (nodeId, load) => views.hear(nodeId, load, clock.monotonicMs()),
+        }),
+    );
+    await network.listen(addressOf(peerAddress));
+
+    const followMembers = (state: MembershipState): void => {
+        choices = backendChoices(membershipChanges.present(state), clock.monotonicMs(), choices);
+        const keys = [...choices.values()].flat().map(({ instanceId, nodeId }) => `${nodeId}/${instanceId}`);
+        views.keepOnly(new Set(keys));
+        configuration.follow(controlAddresses(state, seeds));
+    };
+    const configuration: ConfigurationSubscriber = resources.add(
+        new ConfigurationSubscriber({
+            network,
+            log,
+            onConfiguration: (next) => {
+                const { limits, version } = next;
+                routes = { index: new RouteIndex(next), version, maximumBodyBytes: limits.maximumBodyBytes };
+                ingress.follow(limits);
+            },
+            onMoves: (next) => {
+                moves = next;
+                for (const { reason, service, share, state, targetVersion } of next.values()) {
+                    log.info("move-in-force", { service, targetVersion, state, share, reason });
+                }
+            },
+        }),
+    );
+
+    const recorder = new EvidenceRecorder();
+    const dispatcher = new CallDispatcher({
+        ownZone: zone,
+        clock,
+        random,
+        calls,
+        views,
+        choices: (service) => chooseVersions(choices.get(service) ?? [], moves.get(service), random.fraction()),
+        allowance: {
+            ratio: settings.repeatRatio * REPEAT_SHARE,
+            windowMs: settings.repeatWindowMs,
+            slack: 1,
+        },
+        onAttempt: ({ attempt, choice, elapsedMs, requestId, result, route }) => {
+            if (result.kind !== "answered") {
+                log.info("attempt-failed", {
+                    request: requestId,
+                    route,
+                    node: choice.nodeId,
+                    instance: choice.instanceId,
+                    attempt,
+                    outcome: result.kind,
+                    reason: result.reason,
+                    elapsedMs: Math.round(elapsedMs),
+                });
+            }
+            const move = moves.get(choice.service);
+            const outcome = attemptOutcome(result);
+            if (move?.state === ServiceMoveState.Running && outcome) {
+                const version = choice.version === move.targetVersion ? moveVersions.target : moveVersions.others;
+                recorder.record({ service: choice.service, version, route, outcome, elapsedMs });
+            }
+        },
+    });
+    const ingress: IngressServer = resources.add(
+        new IngressServer({
+            names: headerNames,
+            clock,
+            dispatcher,
+            callerService: ownService,
+            findRoute: (host, target) =>
+                routes && {
+                    route: routes.index.find(host, target),
+                    configurationVersion: routes.version,
+                    maximumBodyBytes: routes.maximumBodyBytes,
+                },
+            chooseService: ({ destinations }) => {
+                const total = destinations.reduce((sum, { weight }) => sum + weight, 0);
+                let left = random.fraction() * total;
+                const chosen = destinations.find(({ weight }) => (left -= weight) < 0);
+                return (chosen ?? destinations[0]).service;
+            },
+            onRefusal: ({ requestId, ...refusal }) => log.info("request-refused", { request: requestId, ...refusal }),
+            onServed: () => undefined,
+        }),
+    );
+
+    const membership: MembershipTask = resources.add(
+        new MembershipTask({
+            own: {
+                id: settings.id,
+                zone,
+                incarnation: clock.wallMs(),
+                sequence: 1,
+                status: MemberStatus.Alive,
+                peerAddress,
+                inboundAddress: peerAddress,
+                endpoints: [],
+            },
+            network,
+            seeds: seeds.map(addressOf),
+            clock,
+            log,
+            ownFloor: () => configuration.present?.version ?? 0,
+            onChange: followMembers,
+            onFloor: () => undefined,
+        }),
+    );
+    followMembers(membership.present);
+
+    const tellOthers = (): void => {
+        const instance = receiver.present;
+        const leaving = stopping || instance?.leavingSinceMs !== undefined;
+        const endpoints = instance
+            ? [{
+                service: instance.service,
+                backendVersion: instance.version,
+                slots: instance.slots,
+                state: leaving ? EndpointState.Draining : EndpointState.Ready,
+                instanceId: instance.id,
+                coldRemainingMs: Math.max(0, Math.round(instance.warmAtMs - clock.monotonicMs())),
+            }]
+            : [];
+        const present = membershipChanges.own(membership.present).endpoints;
+        const key = (list: typeof present): string =>
+            JSON.stringify(list.map(({ coldRemainingMs: _cold, ...endpoint }) => endpoint));
+        if (key(present) !== key(endpoints)) {
+            membership.changeOwn({ endpoints });
+        }
+    };
+    const takeInstance = (next: LocalInstance | undefined, event: string): void => {
+        const previous = receiver.present;
+        receiver.follow(next);
+        tellOthers();
+        const changed = previous?.id !== next?.id || previous?.leavingSinceMs !== next?.leavingSinceMs;
+        if (next && changed) {
+            const { bornMs, id, sequence, service, slots, version } = next;
+            const leaving = next.leavingSinceMs !== undefined;
+            log.info(event, { instance: id, service, version, slots, bornMs, sequence, leaving });
+        }
+    };
+    const backend: LocalBackendAdministration = {
+        announce: (heard) => {
+            takeInstance(localInstances.announce(receiver.present, heard, clock.monotonicMs()), "instance-announced");
+        },
+        leave: (id, bornMs) => {
+            takeInstance(localInstances.leave(receiver.present, id, bornMs, clock.monotonicMs()), "instance-leaving");
+        },
+        isReady: () => routes !== undefined && !stopping,
+    };
+    resources.every(EVIDENCE_INTERVAL_MS, () => {
+        const evidence = recorder.take();
+        if (evidence.length > 0) {
+            configuration.report(evidence);
+        }
+    });
+
+    await ingress.listen(addressOf(settings.callerAddress));
+    log.info("node-started", { zone, peerAddress, callerAddress: settings.callerAddress, seeds: seeds.join(",") });
+
+    const stop = async (): Promise<void> => {
+        stopping = true;
+        const startedMs = clock.monotonicMs();
+        log.info("node-draining", { active: ingress.activeRequests, forBackend: receiver.activeCalls });
+        ingress.drain();
+        tellOthers();
+        const active = (): number => ingress.activeRequests + receiver.activeCalls;
+        const limitMs = startedMs + settings.stopGraceMs - STOP_RESERVE_MS;
+        while (clock.monotonicMs() < limitMs) {
+            const noticed = clock.monotonicMs() - startedMs >= STOP_NOTICE_MS;
+            if (noticed && active() === 0) {
+                break;
+            }
+            await pause(STOP_CHECK_MS);
+        }
+        membership.leave();
+        log.info("node-stopped", { unfinished: active(), tookMs: Math.round(clock.monotonicMs() - startedMs) });
+        await resources.dispose();
+        output.close();
+    };
+    const followSeeds = (next: readonly string[]): void => {
+        seeds = next;
+        membership.followSeeds(next.map(addressOf));
+        followMembers(membership.present);
+    };
+    return { backend, log, followSeeds, stop, dispose: stop };
+};
--- /dev/null
+++ b/src/deployment/decideServiceMove.ts
@@ -0,0 +1,68 @@
+import { ServiceMoveState } from "./ServiceMoveState";
+
+/** Where a running move stands, as the leader sees it. */
+type MoveQuestion = {
+    readonly share: number;
+    /** Time until the move must have ended; negative once that is over. */
+    readonly remainingMs: number;
+    /** How long the present share has been in force. */
+    readonly atShareMs: number;
+    /** How long this leader has watched the move. */
+    readonly watchedMs: number;
+    /** Requests of the target version that this leader has evidence of. */
+    readonly targetRequests: number;
+    /** The strongest suspicion against the target version, in natural log-likelihood, and what it rests on. */
+    readonly suspicion: { readonly strength: number; readonly route: string; readonly signal: string; } | undefined;
+};
+
+type MoveDecision =
+    | { readonly kind: "wait"; }
+    | { readonly kind: "change-share"; readonly share: number; readonly reason: string; }
+    | {
+        readonly kind: "end-move";
+        readonly state: ServiceMoveState.Finished | ServiceMoveState.TakenBack;
+        readonly reason: string;
+    };
+
+/** Half of the tenth that operators allow a bad version, so that the last step fits into the rest. */
+const TRIAL_SHARE = 0.05;
+
+/** A false alarm at this strength comes about once in e^8 batches. */
+const TAKE_BACK_STRENGTH = 8;
+
+/** The last step begins this long before the deadline: later faults still show in the trial. */
+const LAST_STEP_MS = 2_200;
+
+/** All requests go to the target version this long before the old backend servers are let go. */
+const LAST_STEP_WATCH_MS = 1_200;
+
+/** Below this a verdict rests on too little. */
+const MINIMUM_TARGET_REQUESTS = 20;
+const MINIMUM_WATCH_MS = 2_000;
+
+const takeBack = (reason: string): MoveDecision => ({ kind: "end-move", state: ServiceMoveState.TakenBack, reason });
+
+/**
+ * The next step of a move. A trial share runs until shortly before the deadline, so that faults that show late or
+ * under load harm few requests; then everything moves at once. Without enough evidence the version is taken back.
+ */
+export const decideServiceMove = (question: MoveQuestion): MoveDecision => {
+    const { atShareMs, remainingMs, share, suspicion, targetRequests, watchedMs } = question;
+    if (suspicion && suspicion.strength >= TAKE_BACK_STRENGTH) {
+        return takeBack(`${suspicion.signal} on route ${suspicion.route}`);
+    }
+    if (share === 0) {
+        return { kind: "change-share", share: TRIAL_SHARE, reason: "trial" };
+    }
+    if (share < 1 && remainingMs > LAST_STEP_MS) {
+        return { kind: "wait" };
+    }
+    if (share < 1) {
+        return targetRequests < MINIMUM_TARGET_REQUESTS || watchedMs < MINIMUM_WATCH_MS
+            ? takeBack("too little evidence before the deadline")
+            : { kind: "change-share", share: 1, reason: "trial passed" };
+    }
+    return atShareMs < LAST_STEP_WATCH_MS
+        ? { kind: "wait" }
+        : { kind: "end-move", state: ServiceMoveState.Finished, reason: "in force and watched" };
+};
--- a/src/membership/MemberRecord.ts
+++ b/src/membership/MemberRecord.ts
@@ -14,5 +14,7 @@
     readonly peerAddress: string;
     /** IP:PORT for requests to the member's backend servers. */
     readonly inboundAddress: string;
+    /** True for a control replica. */
+    readonly isControl?: boolean;
     readonly endpoints: readonly BackendEndpoint[];
 };
--- a/src/membership/MembershipTask.ts
+++ b/src/membership/MembershipTask.ts
@@ -58,8 +58,10 @@
     private readonly floors = new Map<string, number>();
     private state: MembershipState;
     private linkedChanges = 0;
+    private seeds: readonly SocketAddress[];
 
     public constructor(private readonly options: MembershipOptions) {
+        this.seeds = options.seeds;
         this.state = membershipChanges.create(options.own, options.clock.monotonicMs());
         options.network.handle(Channel.Membership, {
             onMessage: (remote, body) => {
@@ -82,6 +84,13 @@
         this.take(membershipChanges.changeOwn(this.state, change, this.nowMs()));
     }
 
+    /** Replaces the addresses that are tried while no member is known there. */
+    public followSeeds(seeds: readonly SocketAddress[]): void {
+        this.seeds = seeds;
+        this.linkedChanges = 0;
+        this.followNeighbours();
+    }
+
     /** Says that this member leaves. */
     public leave(): void {
         this.changeOwn({ status: MemberStatus.Left, endpoints: [] });
@@ -244,7 +253,7 @@
         this.linkedChanges = this.state.changes;
         const wanted = new Set(chooseNeighbours(this.state).map(({ peerAddress }) => peerAddress));
         const known = new Set([...this.state.members.values()].map(({ record }) => record.peerAddress));
-        for (const { host, port } of this.options.seeds) {
+        for (const { host, port } of this.seeds) {
             if (!known.has(`${host}:${port}`)) {
                 wanted.add(`${host}:${port}`);
             }
--- a/src/transport/Channel.ts
+++ b/src/transport/Channel.ts
@@ -3,4 +3,10 @@
     Consensus = "consensus",
     Distribution = "distribution",
     Membership = "membership",
+    /** Versions of the mesh configuration, from control to the nodes. */
+    Configuration = "configuration",
+    /** Control replicas that ask to join the group. */
+    Group = "group",
+    /** Requests between nodes. */
+    Calls = "calls",
 }
--- a/src/transport/PeerLink.ts
+++ b/src/transport/PeerLink.ts
@@ -28,6 +28,7 @@
     private timer: NodeJS.Timeout | undefined;
     private attempt = 0;
     private disposed = false;
+    private opening: (() => void)[] = [];
 
     public constructor(public readonly address: SocketAddress, private readonly options: LinkOptions) {
         void this.open();
@@ -46,6 +47,21 @@
         return this.connection?.send(message) ?? 0;
     }
 
+    /** Waits until the link is open, at most the given time. Returns whether it is. */
+    public untilOpen(limitMs: number): Promise<boolean> {
+        if (this.connection || this.disposed) {
+            return Promise.resolve(this.isOpen);
+        }
+        return new Promise((resolve) => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                resolve(this.isOpen);
+            };
+            const timer = setTimeout(finish, limitMs);
+            this.opening.push(finish);
+        });
+    }
+
     /** Holds the next attempt back by the time that the peer suggested. */
     public holdBack(delayMs: number): void {
         this.schedule(delayMs);
@@ -74,6 +90,9 @@
         const { onBytes, onMessage } = this.options;
         connection.listen({ onMessage, onBytes, onClose: () => this.closed(connection) });
         this.options.onOpen?.();
+        const waiting = this.opening;
+        this.opening = [];
+        waiting.forEach((resume) => resume());
     }
 
     private closed(connection: FramedConnection): void {
--- a/src/transport/PeerNetwork.ts
+++ b/src/transport/PeerNetwork.ts
@@ -96,6 +96,8 @@
         this.resources.add(link);
         return {
             isOpen: () => link.isOpen,
+            untilOpen: (limitMs: number) => link.untilOpen(limitMs),
+            peerIdentity: () => link.peerIdentity,
             send: (body: unknown) => this.count(channel, link.send(this.wrap(channel, body))),
             holdBack: (delayMs: number) => link.holdBack(delayMs),
             dispose: () => {
