--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -25,7 +25,7 @@
 import { DeploymentControlSettings } from "./DeploymentControlSettings";
 import { DeploymentStateMachine } from "./DeploymentStateMachine";
 import { GroupTask } from "./GroupTask";
-import { readReplicaId } from "./readReplicaId";
+import { readReplicaIdentity } from "./readReplicaIdentity";
 import { ServiceMoveTask } from "./ServiceMoveTask";
 
 /** A running control replica of a deployment. */
@@ -44,8 +44,9 @@
 
 const peerAddressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
 
-const firstMembership = (seeds: readonly string[], isFounder: boolean): Membership => ({
-    voters: isFounder ? seeds.map((address) => ({ id: address, address })) : [],
+/** A replica that joined later learns the membership from the group. */
+const firstMembership = (founders: readonly string[]): Membership => ({
+    voters: founders.map((address) => ({ id: address, address })),
     learners: [],
 });
 
@@ -56,8 +57,8 @@
 ): Promise<DeploymentControl> => {
     const { dataFolder, electionTimeoutMs, isFirstStart, peerAddress, secret, zone } = settings;
     let { seeds } = settings;
-    const isFounder = isFirstStart && seeds.includes(peerAddress);
-    const replicaId = await readReplicaId(dataFolder, peerAddress, isFounder ? peerAddress : undefined);
+    const identity = await readReplicaIdentity(dataFolder, peerAddress, isFirstStart ? seeds : []);
+    const { founders, id: replicaId } = identity;
     const resources = new DisposableStore();
     const clock = new SystemClock();
     const hybridClock = new HybridClock(clock);
@@ -91,7 +92,7 @@
     const consensus: ConsensusTask = resources.add(
         new ConsensusTask({
             id: replicaId,
-            firstMembership: firstMembership(seeds, isFounder),
+            firstMembership: firstMembership(founders),
             store: new FileReplicaStore(dataFolder),
             transport,
             stateMachine,
@@ -148,7 +149,7 @@
         }),
     );
     group.follow(controlAddresses(membership.present, seeds));
-    log.info("control-started", { zone, peerAddress, replicaId, isFounder, seeds: seeds.join(",") });
+    log.info("control-started", { zone, peerAddress, replicaId, founders: founders.length, seeds: seeds.join(",") });
 
     const administration = new DeploymentAdministration({
         clock,
--- a/src/deployment/nextGroupChange.ts
+++ b/src/deployment/nextGroupChange.ts
@@ -12,17 +12,20 @@
  * A replica that lost its disk comes back at the same address under a new id. The old id can never vote again,
  * so it is removed first; the new one votes only once it has caught up.
  */
-export const nextGroupChange = (membership: Membership, applicant: Applicant): MembershipChange | undefined => {
+export const nextGroupChange = (
+    membership: Membership,
+    { address, id }: Applicant,
+): MembershipChange | undefined => {
     const { learners, voters } = membership;
-    if (voters.some(({ id }) => id === applicant.id)) {
+    if (voters.some((voter) => voter.id === id)) {
         return undefined;
     }
     const replaced = [...voters, ...learners].find(
-        ({ address, id }) => address === applicant.address && id !== applicant.id,
+        (replica) => replica.address === address && replica.id !== id,
     );
     if (replaced) {
         return { kind: "remove", id: replaced.id };
     }
-    const isLearner = learners.some(({ id }) => id === applicant.id);
-    return isLearner ? { kind: "promote", id: applicant.id } : { kind: "add-learner", ...applicant };
+    const isLearner = learners.some((learner) => learner.id === id);
+    return isLearner ? { kind: "promote", id } : { kind: "add-learner", id, address };
 };
