--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { Disposable } from "../core/Disposable";
 import { parseAddress } from "../transport/parseAddress";
 import { BackendConnection } from "./BackendConnection";
@@ -95,8 +96,7 @@
         }
         this.openedCount += 1;
         const opened: BackendConnection = new BackendConnection(
-            target.host,
-            target.port,
+            connect({ host: target.host, port: target.port }),
             this.names.requestId,
             () => this.connections.delete(opened),
         );
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -1,5 +1,5 @@
 import { HTTPParser } from "http-parser-js";
-import { connect, Socket } from "node:net";
+import { Socket } from "node:net";
 import { CallAnswer } from "./CallAnswer";
 
 /** A request as it goes on the wire, and how its answer is recognized. */
@@ -49,7 +49,6 @@
 
 /** One connection to a backend server. It carries one request at a time. */
 export class BackendConnection {
-    private readonly socket: Socket;
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
     private pending: Pending | undefined;
     private head: AnswerHead | undefined;
@@ -62,16 +61,15 @@
     private idleSinceMs = 0;
 
     /**
+     * @param socket that is opening
      * @param requestIdHeader the lower-case name of the header by which answers name their request
      * @param onClosed is called once, when the connection can't be used any more
      */
     public constructor(
-        host: string,
-        port: number,
+        private readonly socket: Socket,
         private readonly requestIdHeader: string,
         private readonly onClosed: () => void,
     ) {
-        this.socket = connect({ host, port });
         this.socket.setNoDelay(true);
         this.socket.on("connect", () => {
             this.opened = true;
@@ -145,9 +143,11 @@
         readonly shouldKeepAlive: boolean;
     }): number {
         const { headers, shouldKeepAlive, statusCode, statusMessage } = info;
+        // An answer that begins while no request is under way belongs to none.
+        const isUnasked = !this.pending;
         const isFramedTwice = headerValue(headers, "transfer-encoding") !== undefined
             && headerValue(headers, "content-length") !== undefined;
-        if (isFramedTwice) {
+        if (isUnasked || isFramedTwice) {
             this.close();
             return 1;
         }
--- /dev/null
+++ b/src/calls/__tests__/policies.test.ts
@@ -0,0 +1,203 @@
+import { RandomSource } from "../../core/RandomSource";
+import { ServiceMove } from "../../deployment/ServiceMove";
+import { ServiceMoveState } from "../../deployment/ServiceMoveState";
+import { BackendChoice } from "../BackendChoice";
+import { BackendView } from "../BackendView";
+import { chooseVersions } from "../chooseVersions";
+import { localInstances } from "../localInstances";
+import { pickBackend } from "../pickBackend";
+import { repeatBudget } from "../repeatBudget";
+import { slotQueue } from "../slotQueue";
+
+const choice = (nodeId: string, change: Partial<BackendChoice> = {}): BackendChoice => ({
+    nodeId,
+    address: `${nodeId}:7`,
+    zone: "a",
+    service: "canopy-map",
+    version: "v1",
+    instanceId: `i-${nodeId}`,
+    slots: 4,
+    warmAtMs: 0,
+    ...change,
+});
+
+const view = (change: Partial<BackendView> = {}): BackendView => ({
+    outstanding: 0,
+    others: 0,
+    serviceMs: 100,
+    failureShare: 0,
+    unreachableInARow: 0,
+    heardMs: 1_000,
+    ...change,
+});
+
+const pick = (choices: readonly BackendChoice[], views: Readonly<Record<string, BackendView>>, tried: string[] = []) =>
+    pickBackend({
+        choices,
+        viewOf: ({ nodeId }) => views[nodeId] ?? view(),
+        ownZone: "a",
+        tried: new Set(tried),
+        nowMs: 1_000,
+        random: new RandomSource(1),
+    })?.nodeId;
+
+describe("the choice of a backend server", () => {
+    const two = [choice("one"), choice("two")];
+
+    test("goes where an answer is expected soonest", () => {
+        expect(pick(two, { one: view({ serviceMs: 300 }) })).toBe("two");
+        expect(pick(two, { one: view({ outstanding: 3, others: 3 }) })).toBe("two");
+    });
+
+    test("avoids one that fails fast although it looks idle", () => {
+        const grey = view({ serviceMs: 5, failureShare: 0.5 });
+        expect(pick(two, { one: grey, two: view({ outstanding: 3 }) })).toBe("two");
+    });
+
+    test("stays in the own zone until crossing saves time", () => {
+        const across = [choice("one"), choice("far", { zone: "b" })];
+        expect(pick(across, { one: view({ outstanding: 2 }) })).toBe("one");
+        expect(pick(across, { one: view({ outstanding: 9 }) })).toBe("far");
+    });
+
+    test("leaves a node alone that could not be reached, but not if there is no other", () => {
+        const lost = view({ unreachableInARow: 2, serviceMs: 1 });
+        expect(pick(two, { one: lost })).toBe("two");
+        expect(pick([choice("one")], { one: lost })).toBe("one");
+    });
+
+    test("spares one in slow start", () => {
+        expect(pick([choice("one", { warmAtMs: 2_000 }), choice("two")], {})).toBe("two");
+    });
+
+    test("takes none twice", () => {
+        expect(pick(two, {}, ["one", "two"])).toBeUndefined();
+    });
+});
+
+describe("the version that a request goes to", () => {
+    const choices = [choice("old"), choice("new", { version: "v2" })];
+    const move = (state: ServiceMoveState, share: number): ServiceMove => ({
+        service: "canopy-map",
+        targetVersion: "v2",
+        state,
+        share,
+        durationMs: 16_000,
+        acceptedAtMs: 0,
+        reason: "",
+    });
+    const names = (at: ServiceMove, fraction: number, from = choices) =>
+        chooseVersions(from, at, fraction).map(({ nodeId }) => nodeId);
+
+    test("is the target for the move's share only", () => {
+        expect(names(move(ServiceMoveState.Running, 0.05), 0.04)).toEqual(["new"]);
+        expect(names(move(ServiceMoveState.Running, 0.05), 0.05)).toEqual(["old"]);
+        expect(names(move(ServiceMoveState.Running, 0), 0)).toEqual(["old"]);
+    });
+
+    test("is never the target once the move was taken back, even if nothing else is left", () => {
+        expect(names(move(ServiceMoveState.TakenBack, 1), 0)).toEqual(["old"]);
+        expect(names(move(ServiceMoveState.TakenBack, 1), 0, [choices[1]])).toEqual([]);
+    });
+
+    test("is the target alone once the move has finished", () => {
+        expect(names(move(ServiceMoveState.Finished, 1), 0.99)).toEqual(["new"]);
+    });
+});
+
+describe("the slots of a backend server", () => {
+    const call = (key: number, deadlineMs: number, priority = 1) => ({ key, priority, arrivedMs: 0, deadlineMs });
+    const filled = (slots: number) => {
+        let state = slotQueue.create(slots);
+        for (let key = 0; key < slots; key += 1) {
+            state = slotQueue.offer(state, call(key, 1_000), 0).state;
+        }
+        return state;
+    };
+
+    test("take as many requests as there are and let the others wait", () => {
+        const state = filled(2);
+        expect(state.active).toBe(2);
+        expect(slotQueue.offer(state, call(9, 1_000), 0).kind).toBe("wait");
+    });
+
+    test("refuse at once what could not end in time", () => {
+        const offer = slotQueue.offer(filled(2), call(9, 60), 0);
+        expect(offer.kind).toBe("refuse");
+        expect(offer.kind === "refuse" && offer.retryAfterMs).toBeGreaterThan(0);
+    });
+
+    test("go to the most urgent request first", () => {
+        let state = filled(1);
+        state = slotQueue.offer(state, call(8, 1_000, 2), 0).state;
+        state = slotQueue.offer(state, call(9, 1_000, 0), 0).state;
+        expect(slotQueue.release(state, 50, 10).started).toEqual([9]);
+    });
+
+    test("give up a request whose time is over before it starts", () => {
+        const state = slotQueue.offer(filled(1), call(9, 200), 0).state;
+        const progress = slotQueue.release(state, 50, 190);
+        expect(progress.expired).toEqual([9]);
+        expect(progress.state.active).toBe(0);
+    });
+});
+
+describe("the budget of repetitions", () => {
+    const allowance = { ratio: 0.1, windowMs: 10_000, slack: 1 };
+
+    test("allows a share of the requests of a window, whenever they come", () => {
+        let state = repeatBudget.empty;
+        for (let request = 0; request < 100; request += 1) {
+            state = repeatBudget.onRequest(state, allowance, request * 50);
+        }
+        let repeats = 0;
+        while (repeatBudget.mayRepeat(state, allowance, 5_000)) {
+            state = repeatBudget.onRepeat(state, allowance, 5_000);
+            repeats += 1;
+        }
+        expect(repeats).toBe(11);
+        expect(repeatBudget.mayRepeat(state, allowance, 9_000)).toBe(false);
+    });
+});
+
+describe("a backend server's word", () => {
+    const said = (change: Partial<Parameters<typeof localInstances.announce>[1]> = {}) => ({
+        id: "i-1",
+        service: "canopy-map",
+        version: "v1",
+        address: "127.0.0.1:9",
+        slots: 4,
+        bornMs: 1_000,
+        sequence: 5,
+        leaving: false,
+        coldRemainingMs: 0,
+        ...change,
+    });
+    const present = localInstances.announce(undefined, said(), 0);
+
+    test("counts only if it is newer than what is known", () => {
+        expect(localInstances.announce(present, said({ slots: 9 }), 1)).toBe(present);
+        expect(localInstances.announce(present, said({ slots: 9, sequence: 6 }), 1)?.slots).toBe(9);
+    });
+
+    test("of an earlier start at the same address does not bring it back", () => {
+        expect(localInstances.announce(present, said({ id: "i-0", bornMs: 900, sequence: 99 }), 1)).toBe(present);
+    });
+
+    test("of a new start under the same id counts although its sequence begins anew", () => {
+        expect(localInstances.announce(present, said({ bornMs: 2_000, sequence: 1, slots: 7 }), 1)?.slots).toBe(7);
+    });
+
+    test("that it leaves is final for that start", () => {
+        const leaving = localInstances.announce(present, said({ sequence: 6, leaving: true }), 100);
+        expect(leaving?.leavingSinceMs).toBe(100);
+        expect(localInstances.announce(leaving, said({ sequence: 7 }), 200)?.leavingSinceMs).toBe(100);
+        expect(localInstances.announce(leaving, said({ bornMs: 2_000 }), 300)?.leavingSinceMs).toBeUndefined();
+    });
+
+    test("that it leaves counts only from that backend server", () => {
+        expect(localInstances.leave(present, "i-2", 0, 100)).toBe(present);
+        expect(localInstances.leave(present, "i-1", 900, 100)).toBe(present);
+        expect(localInstances.leave(present, "i-1", 1_000, 100)?.leavingSinceMs).toBe(100);
+    });
+});
--- /dev/null
+++ b/src/configuration/__tests__/configuration.test.ts
@@ -0,0 +1,108 @@
+import fc from "fast-check";
+import { configurationDeltas } from "../configurationDeltas";
+import { findConfigurationFault } from "../findConfigurationFault";
+import { MeshRoute } from "../MeshRoute";
+import { RouteIndex } from "../RouteIndex";
+import { sampleConfiguration } from "./sampleConfiguration";
+
+const changeFirst = (change: Partial<MeshRoute>) => {
+    const sample = sampleConfiguration(1);
+    return { ...sample, routes: [{ ...sample.routes[0], ...change }, ...sample.routes.slice(1)] };
+};
+
+describe("a configuration", () => {
+    test("of the sample has no fault", () => {
+        expect(findConfigurationFault(sampleConfiguration(1))).toBeUndefined();
+    });
+
+    test.each([
+        ["an unknown service", { destinations: [{ service: "nowhere", weight: 100 }] }, "no service nowhere"],
+        ["no time-out", { timeoutMs: 0 }, "time-out"],
+        ["a time-out of over ten minutes", { timeoutMs: 600_001 }, "time-out"],
+        ["a target a minute above the time-out", { targetLatencyMs: 61_500 }, "target latency"],
+        ["a prefix without a slash", { pathPrefix: "tiles/" }, "slash"],
+        ["weights that add up to nothing", { destinations: [{ service: "canopy-map", weight: 0 }] }, "weights"],
+        ["no destination", { destinations: [] }, "no service"],
+    ])("with %s is refused", (_case, change, reason) => {
+        expect(findConfigurationFault(changeFirst(change))).toContain(reason);
+    });
+
+    test.each([0, -1, 1.5])("of version %d is refused", (version) => {
+        expect(findConfigurationFault(sampleConfiguration(version))).toContain("version");
+    });
+});
+
+describe("the route of a request", () => {
+    const index = new RouteIndex(sampleConfiguration(1));
+
+    test.each([
+        ["/tiles/4/5", "tiles"],
+        ["/tiles/orders/7?crew=2", "orders"],
+        ["/tiles/orders", "tiles"],
+        ["/tiles", "survey"],
+        ["/other?next=/tiles/orders/", "survey"],
+    ])("%s has the longest prefix that begins the path", (target, name) => {
+        expect(index.find("maps.example", target)?.name).toBe(name);
+    });
+
+    test("is found whatever the port and the case of the host", () => {
+        expect(index.find("Maps.example:8080", "/tiles/1")?.name).toBe("tiles");
+    });
+
+    test("is not found at another host", () => {
+        expect(index.find("other.example", "/tiles/1")).toBeUndefined();
+    });
+});
+
+describe("a difference of configurations", () => {
+    const before = sampleConfiguration(3);
+    const after = { ...sampleConfiguration(7), routes: [changeFirst({ timeoutMs: 900 }).routes[0], before.routes[2]] };
+
+    test("holds only what changed", () => {
+        const delta = configurationDeltas.between(before, after);
+        expect(delta.changedRoutes.map(({ name }) => name)).toEqual(["tiles"]);
+        expect(delta.removedRoutes).toEqual(["orders"]);
+        expect(delta.changedServices).toEqual([]);
+    });
+
+    test("leads to the newer one and to nothing else", () => {
+        const delta = configurationDeltas.between(before, after);
+        const result = configurationDeltas.patch(before, delta);
+        expect(result && configurationDeltas.digest(result)).toBe(configurationDeltas.digest(after));
+        expect(configurationDeltas.patch(sampleConfiguration(4), delta)).toBeUndefined();
+        expect(configurationDeltas.patch(undefined, delta)).toBeUndefined();
+    });
+
+    test("from nothing is the whole, also for a node that holds another version", () => {
+        const delta = configurationDeltas.between(undefined, after);
+        const result = configurationDeltas.patch(sampleConfiguration(2), delta);
+        expect(result && configurationDeltas.digest(result)).toBe(configurationDeltas.digest(after));
+    });
+
+    test("that lost a part on the way is refused", () => {
+        const delta = configurationDeltas.between(before, after);
+        expect(configurationDeltas.patch(before, { ...delta, changedRoutes: [] })).toBeUndefined();
+    });
+
+    test("through any series of versions ends at the last", () => {
+        const timeouts = fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1, maxLength: 8 });
+        fc.assert(
+            fc.property(fc.array(timeouts, { minLength: 1, maxLength: 6 }), (steps) => {
+                let held = sampleConfiguration(1);
+                let current = held;
+                steps.forEach((values, step) => {
+                    const routes = values.map((timeoutMs, place) => ({
+                        ...held.routes[0] ?? sampleConfiguration(1).routes[0],
+                        name: `route-${place}`,
+                        timeoutMs,
+                    }));
+                    const next = sampleConfiguration(step + 2, { routes });
+                    held = configurationDeltas.patch(held, configurationDeltas.between(current, next)) ?? held;
+                    current = next;
+                });
+                expect(configurationDeltas.digest(held)).toBe(configurationDeltas.digest(current));
+            }),
+            { seed: 1, numRuns: 100 },
+        );
+    });
+});
--- a/src/configuration/configurationDeltas.ts
+++ b/src/configuration/configurationDeltas.ts
@@ -65,7 +65,7 @@
 });
 
 /** Applies a delta. Returns undefined if it is for another version or does not lead to the digest that it states. */
-const apply = (before: MeshConfiguration | undefined, delta: ConfigurationDelta): MeshConfiguration | undefined => {
+const patch = (before: MeshConfiguration | undefined, delta: ConfigurationDelta): MeshConfiguration | undefined => {
     if (delta.fromVersion !== 0 && delta.fromVersion !== before?.version) {
         return undefined;
     }
@@ -80,4 +80,4 @@
 };
 
 /** Differences between configurations: what distribution sends costs by what changed, not by the size of the whole. */
-export const configurationDeltas = { between, apply, digest } as const;
+export const configurationDeltas = { between, patch, digest } as const;
--- a/src/deployment/ConfigurationSubscriber.ts
+++ b/src/deployment/ConfigurationSubscriber.ts
@@ -146,8 +146,8 @@
         }
     }
 
-    private take(address: string, delta: Parameters<typeof configurationDeltas.apply>[1]): void {
-        const next = configurationDeltas.apply(this.held, delta);
+    private take(address: string, delta: Parameters<typeof configurationDeltas.patch>[1]): void {
+        const next = configurationDeltas.patch(this.held, delta);
         this.needsWhole = !next;
         if (!next) {
             const { fromVersion, version } = delta;
--- /dev/null
+++ b/src/deployment/__tests__/decideServiceMove.test.ts
@@ -0,0 +1,50 @@
+import { decideServiceMove } from "../decideServiceMove";
+import { ServiceMoveState } from "../ServiceMoveState";
+
+const question = {
+    share: 0.05,
+    remainingMs: 10_000,
+    atShareMs: 4_000,
+    watchedMs: 5_000,
+    targetRequests: 60,
+    suspicion: undefined,
+} as const;
+
+describe("a move", () => {
+    test("begins with a trial share below what a bad version may get", () => {
+        const decision = decideServiceMove({ ...question, share: 0 });
+        expect(decision).toMatchObject({ kind: "change-share" });
+        expect(decision.kind === "change-share" && decision.share).toBeLessThan(0.1);
+    });
+
+    test("stays on trial until shortly before its deadline", () => {
+        expect(decideServiceMove(question)).toEqual({ kind: "wait" });
+    });
+
+    test("moves everything before its deadline, and ends once that was watched", () => {
+        const late = { ...question, remainingMs: 2_000 };
+        expect(decideServiceMove(late)).toMatchObject({ kind: "change-share", share: 1 });
+        expect(decideServiceMove({ ...late, share: 1, atShareMs: 300 })).toEqual({ kind: "wait" });
+        expect(decideServiceMove({ ...late, share: 1, atShareMs: 1_300 })).toMatchObject({
+            kind: "end-move",
+            state: ServiceMoveState.Finished,
+        });
+    });
+
+    test.each([0, 0.05, 1])("at share %d is taken back on a strong suspicion", (share) => {
+        const suspicion = { strength: 9, route: "tiles", signal: "errors" };
+        expect(decideServiceMove({ ...question, share, suspicion })).toMatchObject({
+            kind: "end-move",
+            state: ServiceMoveState.TakenBack,
+            reason: "errors on route tiles",
+        });
+    });
+
+    test.each([
+        ["few requests", { targetRequests: 3 }],
+        ["a leader that has only just begun to watch", { watchedMs: 500 }],
+    ])("with %s is taken back instead of moved blindly", (_case, change) => {
+        const decision = decideServiceMove({ ...question, remainingMs: 1_000, ...change });
+        expect(decision).toMatchObject({ kind: "end-move", state: ServiceMoveState.TakenBack });
+    });
+});
--- /dev/null
+++ b/src/deployment/__tests__/group.test.ts
@@ -0,0 +1,53 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { nextGroupChange } from "../nextGroupChange";
+import { readReplicaIdentity } from "../readReplicaIdentity";
+
+const replica = (id: string, address = id) => ({ id, address });
+const voters = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"].map((address) => replica(address));
+
+describe("a replica that asks to join", () => {
+    test("becomes a learner, then a voter", () => {
+        const joiner = replica("10.0.0.4:7#aa", "10.0.0.4:7");
+        expect(nextGroupChange({ voters, learners: [] }, joiner)).toEqual({ kind: "add-learner", ...joiner });
+        expect(nextGroupChange({ voters, learners: [joiner] }, joiner)).toEqual({ kind: "promote", id: joiner.id });
+        expect(nextGroupChange({ voters: [...voters, joiner], learners: [] }, joiner)).toBeUndefined();
+    });
+
+    test("does not choose the kind of change by what else its message holds", () => {
+        const message = { kind: "join", ...replica("10.0.0.4:7#aa", "10.0.0.4:7") };
+        expect(nextGroupChange({ voters, learners: [] }, message)?.kind).toBe("add-learner");
+    });
+
+    test("after it lost its disk first has its earlier self removed", () => {
+        const returned = replica("10.0.0.2:7#bb", "10.0.0.2:7");
+        expect(nextGroupChange({ voters, learners: [] }, returned)).toEqual({ kind: "remove", id: "10.0.0.2:7" });
+    });
+});
+
+describe("the identity of a replica", () => {
+    let folder = "";
+    beforeEach(async () => {
+        folder = await mkdtemp(join(tmpdir(), "replica-identity-"));
+    });
+    afterEach(() => rm(folder, { recursive: true }));
+    const founders = voters.map(({ address }) => address);
+
+    test("keeps the founders when it starts again without being told of them", async () => {
+        const first = await readReplicaIdentity(folder, "10.0.0.1:7", founders);
+        expect(first).toEqual({ id: "10.0.0.1:7", founders });
+        expect(await readReplicaIdentity(folder, "10.0.0.1:7", [])).toEqual(first);
+    });
+
+    test("is another one after the disk was lost, and founds nothing", async () => {
+        await readReplicaIdentity(join(folder, "lost"), "10.0.0.1:7", founders);
+        const returned = await readReplicaIdentity(join(folder, "empty"), "10.0.0.1:7", []);
+        expect(returned.id).toMatch(/^10\.0\.0\.1:7#[0-9a-f]{12}$/);
+        expect(returned.founders).toEqual([]);
+    });
+
+    test("of a replica that is no founder founds nothing", async () => {
+        expect((await readReplicaIdentity(folder, "10.0.0.9:7", founders)).founders).toEqual([]);
+    });
+});
--- a/src/emulator/ManagedProcess.ts
+++ b/src/emulator/ManagedProcess.ts
@@ -25,9 +25,13 @@
         program: string,
         programArguments: readonly string[],
         logPath: string,
+        environment: Readonly<Record<string, string>> = {},
     ) {
         this.logFile = createWriteStream(logPath, { flags: "a" });
-        this.child = spawn(process.execPath, [program, ...programArguments], { stdio: ["ignore", "pipe", "pipe"] });
+        this.child = spawn(process.execPath, [program, ...programArguments], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: { ...process.env, ...environment },
+        });
         if (this.child.stdout) {
             createInterface({ input: this.child.stdout }).on("line", (line) => this.takeLine(line));
         }
