Tell a reset from an end after an answer without length; rank waiting requests; stay in the zone while soon enough

(3) bytes between zones were the largest price after hosts: crossing only paid in latency, not in credit. Also: bounded log lines by event, metrics of nodes, OPERATIONS.md takes over OPERATING.md.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -96,7 +96,7 @@
         }
         this.openedCount += 1;
         const opened: BackendConnection = new BackendConnection(
-            connect({ host: target.host, port: target.port }),
+            connect({ host: target.host, port: target.port, allowHalfOpen: true }),
             this.names.requestId,
             () => this.connections.delete(opened),
         );
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -128,12 +128,21 @@
         }
     }
 
-    /** The backend server has ended its side: an answer without a length is complete now. */
+    /**
+     * The backend server has ended its side: an answer without a length is complete now. Node also reports the end of
+     * a connection that was reset right after its last bytes; an empty write tells the two apart.
+     */
     private finish(): void {
-        if (this.pending && this.head) {
-            this.parser.finish();
+        if (!this.pending || !this.head) {
+            this.close();
+            return;
         }
-        this.close();
+        this.socket.write("", (error) => {
+            if (!error && !this.closed) {
+                this.parser.finish();
+            }
+            this.close();
+        });
     }
 
     private onHead(info: {
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -93,14 +93,16 @@
         return this.budgets.get(service) ?? repeatBudget.empty;
     }
 
-    private pick({ service }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
+    private pick({ arrivedMs, route, service }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
         const { choices, clock, ownZone, random, views } = this.options;
+        const nowMs = clock.monotonicMs();
         return pickBackend({
             choices: choices(service),
             viewOf: (choice) => views.viewOf(choice),
             ownZone,
             tried,
-            nowMs: clock.monotonicMs(),
+            nowMs,
+            targetRemainingMs: arrivedMs + route.targetLatencyMs - nowMs,
             random,
         });
     }
--- a/src/calls/CallOrder.ts
+++ b/src/calls/CallOrder.ts
@@ -2,6 +2,7 @@
 export type CallOrder = {
     /** The caller's own id of the request; the backend server repeats it in its answer. */
     readonly requestId: string;
+    readonly route: string;
     readonly service: string;
     /** The backend server, so that no other one at its address runs the request. */
     readonly instanceId: string;
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -119,11 +119,9 @@
         this.lastKey += 1;
         const key = this.lastKey;
         const deadlineMs = arrivedMs + order.remainingMs;
-        const admission = slotQueue.offer(
-            this.queue,
-            { key, priority: order.priority, arrivedMs, deadlineMs },
-            arrivedMs,
-        );
+        const targetAtMs = arrivedMs + order.targetRemainingMs;
+        const { priority, route } = order;
+        const admission = slotQueue.offer(this.queue, { key, route, priority, targetAtMs, deadlineMs }, arrivedMs);
         this.queue = admission.state;
         if (admission.kind === "refuse") {
             return { kind: "not-run", reason: "no-room", retryAfterMs: admission.retryAfterMs };
@@ -177,7 +175,7 @@
         const nowMs = this.nowMs();
         this.noteOutcome(result);
         const informative = result.kind === "answered" || (result.kind === "unknown" && result.reason === "timed-out");
-        this.progress(slotQueue.release(this.queue, informative ? nowMs - startedMs : undefined, nowMs));
+        this.progress(slotQueue.release(this.queue, order.route, informative ? nowMs - startedMs : undefined, nowMs));
         return result;
     }
 
--- a/src/calls/IngressServer.ts
+++ b/src/calls/IngressServer.ts
@@ -21,7 +21,7 @@
     readonly findRoute: (host: string, target: string) => RouteAnswer | undefined;
     readonly chooseService: (route: MeshRoute) => string;
     readonly onRefusal: (refusal: RefusedRequest) => void;
-    readonly onServed: (route: string, status: number, elapsedMs: number) => void;
+    readonly onServed: (status: number, elapsedMs: number) => void;
 };
 
 type RouteAnswer = {
@@ -175,6 +175,7 @@
             service,
             order: {
                 requestId: this.header(request, names.requestId) ?? "",
+                route: route.name,
                 service,
                 callerService,
                 method: request.method ?? "GET",
@@ -188,7 +189,7 @@
             signal: caller.signal,
         });
         if (result.kind === "answered") {
-            onServed(route.name, result.answer.status, clock.monotonicMs() - arrivedMs);
+            onServed(result.answer.status, clock.monotonicMs() - arrivedMs);
             this.sendAnswer(request, response, result.answer);
             return;
         }
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -16,6 +16,7 @@
 
 const order = (requestId: string): CallOrder => ({
     requestId,
+    route: "tiles",
     service: "canopy-map",
     instanceId: "i-1",
     callerService: "tree-survey",
@@ -129,6 +130,21 @@
         expect(await result).toEqual({ kind: "broken" });
     });
 
+    test("whose answer without a length is reset right after its last bytes has no answer", async () => {
+        // Node reports such a reset as an end; the next write fails.
+        const socket = Object.assign(new PassThrough(), { setNoDelay: () => undefined });
+        socket.write = ((_bytes: unknown, onDone?: (error: Error) => void) => {
+            onDone?.(new Error("ECONNRESET"));
+            return true;
+        }) as typeof socket.write;
+        const connection = new BackendConnection(socket as unknown as Socket, names.requestId, () => undefined);
+        socket.emit("connect");
+        const result = connection.send({ bytes: Buffer.alloc(0), method: "GET", requestId: "r1" });
+        socket.emit("data", Buffer.from(unframed));
+        socket.emit("end");
+        expect(await result).toEqual({ kind: "broken" });
+    });
+
     test("whose success bears no signature has no answer", async () => {
         behave = (socket) => socket.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\ntile");
         expect(await send("r1")).toEqual({ kind: "unknown", reason: "unsigned" });
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -31,15 +31,20 @@
     ...change,
 });
 
-const pick = (choices: readonly BackendChoice[], views: Readonly<Record<string, BackendView>>, tried: string[] = []) =>
-    pickBackend({
-        choices,
-        viewOf: ({ nodeId }) => views[nodeId] ?? view(),
-        ownZone: "a",
-        tried: new Set(tried),
-        nowMs: 1_000,
-        random: new RandomSource(1),
-    })?.nodeId;
+const pick = (
+    choices: readonly BackendChoice[],
+    views: Readonly<Record<string, BackendView>>,
+    tried: string[] = [],
+    targetRemainingMs = 200,
+) => pickBackend({
+    choices,
+    viewOf: ({ nodeId }) => views[nodeId] ?? view(),
+    ownZone: "a",
+    tried: new Set(tried),
+    nowMs: 1_000,
+    targetRemainingMs,
+    random: new RandomSource(1),
+})?.nodeId;
 
 describe("the choice of a backend server", () => {
     const two = [choice("one"), choice("two")];
@@ -60,6 +65,13 @@
         expect(pick(across, { one: view({ outstanding: 9 }) })).toBe("far");
     });
 
+    test("does not cross zones for an answer that is soon enough in the own one", () => {
+        const across = [choice("slow"), choice("far", { zone: "b" })];
+        const views = { slow: view({ serviceMs: 250 }), far: view({ serviceMs: 100 }) };
+        expect(pick(across, views, [], 1_000)).toBe("slow");
+        expect(pick(across, views, [], 300)).toBe("far");
+    });
+
     test("leaves a node alone that could not be reached, but not if there is no other", () => {
         const lost = view({ unreachableInARow: 2, serviceMs: 1 });
         expect(pick(two, { one: lost })).toBe("two");
@@ -106,7 +118,13 @@
 });
 
 describe("the slots of a backend server", () => {
-    const call = (key: number, deadlineMs: number, priority = 1) => ({ key, priority, arrivedMs: 0, deadlineMs });
+    const call = (key: number, deadlineMs: number, priority = 1, targetAtMs = deadlineMs) => ({
+        key,
+        route: "tiles",
+        priority,
+        targetAtMs,
+        deadlineMs,
+    });
     const filled = (slots: number) => {
         let state = slotQueue.create(slots);
         for (let key = 0; key < slots; key += 1) {
@@ -131,12 +149,37 @@
         let state = filled(1);
         state = slotQueue.offer(state, call(8, 1_000, 2), 0).state;
         state = slotQueue.offer(state, call(9, 1_000, 0), 0).state;
-        expect(slotQueue.release(state, 50, 10).started).toEqual([9]);
+        expect(slotQueue.release(state, "tiles", 50, 10).started).toEqual([9]);
+    });
+
+    test("go first to what can still be on time, even if something more urgent is late already", () => {
+        let state = filled(1);
+        state = slotQueue.offer(state, call(8, 1_000, 0, 20), 0).state;
+        state = slotQueue.offer(state, call(9, 1_000, 2, 500), 0).state;
+        expect(slotQueue.release(state, "tiles", 50, 10).started).toEqual([9]);
+    });
+
+    test("refuse a late request as soon as those that can be on time leave it no room", () => {
+        let state = filled(1);
+        state = slotQueue.offer(state, call(8, 300, 0, 20), 0).state;
+        for (let key = 10; key < 14; key += 1) {
+            state = slotQueue.offer(state, call(key, 1_000, 2, 900), 0).state;
+        }
+        expect(slotQueue.advance(state, 120).expired).toEqual([8]);
+    });
+
+    test("learn how long the requests of a route take", () => {
+        let state = filled(1);
+        for (let sample = 0; sample < 60; sample += 1) {
+            state = slotQueue.release(state, "orders", 400, 0).state;
+        }
+        const long = { ...call(9, 350), route: "orders" };
+        expect(slotQueue.offer({ ...state, active: 1 }, long, 0).kind).toBe("refuse");
     });
 
     test("give up a request whose time is over before it starts", () => {
         const state = slotQueue.offer(filled(1), call(9, 200), 0).state;
-        const progress = slotQueue.release(state, 50, 190);
+        const progress = slotQueue.release(state, "tiles", 50, 190);
         expect(progress.expired).toEqual([9]);
         expect(progress.state.active).toBe(0);
     });
--- a/src/calls/pickBackend.ts
+++ b/src/calls/pickBackend.ts
@@ -10,6 +10,8 @@
     /** Nodes that were tried already. */
     readonly tried: ReadonlySet<string>;
     readonly nowMs: number;
+    /** Time from now until an answer counts as late; negative once it is. */
+    readonly targetRemainingMs: number;
     readonly random: RandomSource;
 };
 
@@ -19,6 +21,15 @@
 /** What crossing zones must save at least: the way there and back, and the price of the bytes. */
 const ZONE_PENALTY_MS = 60;
 
+/**
+ * An answer that is expected within this part of the time to the target is soon enough: work varies by about twice
+ * its mean. What is soon enough is not worth the bytes to another zone.
+ */
+const COMFORT_SHARE = 0.4;
+
+/** Among those that are soon enough, the sooner one still goes first. */
+const SOONER_SHARE = 0.2;
+
 /** Assumed while nothing has been heard of a backend server. */
 const DEFAULT_SERVICE_MS = 50;
 
@@ -46,9 +57,15 @@
     return nowMs - heardMs < pauseMs;
 };
 
-/** The expected time until an answer comes from this backend server, with penalties in the same unit. */
-const expectedMs = (question: PickQuestion, choice: BackendChoice): number => {
-    const { nowMs, ownZone, viewOf } = question;
+/** What it costs to wait for an answer: little while it comes well before its target. */
+const waitingCostMs = (expectedMs: number, targetRemainingMs: number): number => {
+    const comfortMs = Math.max(0, targetRemainingMs) * COMFORT_SHARE;
+    return expectedMs * SOONER_SHARE + Math.max(0, expectedMs - comfortMs) * (1 - SOONER_SHARE);
+};
+
+/** The cost of sending the request to this backend server, in milliseconds. */
+const costOf = (question: PickQuestion, choice: BackendChoice): number => {
+    const { nowMs, ownZone, targetRemainingMs, viewOf } = question;
     const view = viewOf(choice);
     const fade = 0.5 ** ((nowMs - view.heardMs) / HALF_LIFE_MS);
     const serviceMs = (view.serviceMs ?? DEFAULT_SERVICE_MS) * (nowMs < choice.warmAtMs ? COLD_FACTOR : 1);
@@ -57,7 +74,7 @@
     const fullnessMs = serviceMs * FULLNESS_SHARE * Math.min(1, load / choice.slots);
     const failureMs = view.failureShare * fade * FAILURE_PENALTY_MS;
     const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS;
-    return serviceMs + waitMs + fullnessMs + failureMs + zoneMs;
+    return waitingCostMs(serviceMs + waitMs + fullnessMs, targetRemainingMs) + failureMs + zoneMs;
 };
 
 /** All of the own zone and a random few of the others. */
@@ -71,7 +88,7 @@
     return [...own, ...drawn];
 };
 
-/** Chooses the backend server from which an answer is expected soonest, or undefined if none may be tried. */
+/** Chooses the backend server where the request costs least, or undefined if none may be tried. */
 export const pickBackend = (question: PickQuestion): BackendChoice | undefined => {
     const { choices, nowMs, ownZone, random, tried, viewOf } = question;
     const untried = choices.filter(({ nodeId }) => !tried.has(nodeId));
@@ -79,7 +96,7 @@
     let best: BackendChoice | undefined;
     let bestMs = Infinity;
     for (const choice of sample(reachable.length > 0 ? reachable : untried, ownZone, random)) {
-        const costMs = expectedMs(question, choice);
+        const costMs = costOf(question, choice);
         if (costMs < bestMs) {
             best = choice;
             bestMs = costMs;
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -1,19 +1,24 @@
-/** A request that waits for a slot of the backend server. */
+/** A request that waits for a slot of the backend server. Times are on the node's steady clock. */
 type WaitingCall = {
     readonly key: number;
+    /** Requests of one route take similar time. */
+    readonly route: string;
+    /** 0 is the most urgent. */
     readonly priority: number;
-    readonly arrivedMs: number;
-    /** On the node's steady clock. */
+    /** Answers after this are late. */
+    readonly targetAtMs: number;
     readonly deadlineMs: number;
 };
 
-/** The slots of one backend server and the requests that wait for them, most urgent first. */
+/** The slots of one backend server and the requests that wait for them. */
 type SlotQueueState = {
     readonly slots: number;
     readonly active: number;
     readonly waiting: readonly WaitingCall[];
     /** Moving average of how long a request holds a slot. */
     readonly serviceMs: number;
+    /** The same for each route that was seen. */
+    readonly routeServiceMs: ReadonlyMap<string, number>;
 };
 
 /** What happens to a request that arrives. */
@@ -22,7 +27,7 @@
     | { readonly kind: "wait"; readonly state: SlotQueueState; }
     | { readonly kind: "refuse"; readonly state: SlotQueueState; readonly retryAfterMs: number; };
 
-/** Requests that become able to start, and those whose time is over before they could. */
+/** Requests that can start now, and those that can't end in time any more. */
 type Progress = {
     readonly state: SlotQueueState;
     readonly started: readonly number[];
@@ -32,52 +37,70 @@
 /** Assumed until requests have ended: a middling request of an ordinary service. */
 const INITIAL_SERVICE_MS = 50;
 
-/** Weight of a new sample in the moving average: about the last 20 requests count. */
+/** Weight of a new sample in the moving averages: about the last 20 requests count. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
-/** A request is let in only if at least this part of the usual service time would be left once it starts. */
-const REQUIRED_SERVICE_SHARE = 1;
-
 /** Callers come back no sooner than this: one round trip between hosts and some work. */
 const MINIMUM_RETRY_AFTER_MS = 20;
 
-const create = (slots: number): SlotQueueState => ({ slots, active: 0, waiting: [], serviceMs: INITIAL_SERVICE_MS });
+const create = (slots: number): SlotQueueState => ({
+    slots,
+    active: 0,
+    waiting: [],
+    serviceMs: INITIAL_SERVICE_MS,
+    routeServiceMs: new Map(),
+});
+
+const serviceMsOf = ({ routeServiceMs, serviceMs }: SlotQueueState, { route }: WaitingCall): number =>
+    routeServiceMs.get(route) ?? serviceMs;
 
 /** Time until a request that has `ahead` others in front of it gets a slot. */
-const expectedWaitMs = ({ active, serviceMs, slots }: SlotQueueState, ahead: number): number => {
-    const before = Math.max(0, active - slots) + ahead;
-    return active < slots && ahead === 0 ? 0 : ((before + 1) * serviceMs) / slots;
-};
+const expectedWaitMs = ({ active, serviceMs, slots }: SlotQueueState, ahead: number): number =>
+    active < slots && ahead === 0 ? 0 : ((Math.max(0, active - slots) + ahead + 1) * serviceMs) / slots;
 
-const goesBefore = (left: WaitingCall, right: WaitingCall): boolean =>
-    left.priority !== right.priority ? left.priority < right.priority : left.deadlineMs < right.deadlineMs;
+const canBeOnTime = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
+    nowMs + serviceMsOf(state, call) <= call.targetAtMs;
 
 const fits = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean =>
-    nowMs + expectedWaitMs(state, ahead) + state.serviceMs * REQUIRED_SERVICE_SHARE <= call.deadlineMs;
+    nowMs + expectedWaitMs(state, ahead) + serviceMsOf(state, call) <= call.deadlineMs;
+
+/**
+ * Requests that can still be on time come first, so that a backlog of late ones does not make all others late too;
+ * then the more urgent; then the one whose time is over sooner.
+ */
+const ranked = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
+    const late = new Map(calls.map((call) => [call.key, canBeOnTime(state, call, nowMs) ? 0 : 1]));
+    const lateOf = ({ key }: WaitingCall): number => late.get(key) ?? 1;
+    return [...calls].sort((left, right) =>
+        lateOf(left) - lateOf(right)
+        || left.priority - right.priority
+        || (lateOf(left) === 0 ? left.targetAtMs - right.targetAtMs : left.deadlineMs - right.deadlineMs)
+    );
+};
 
 /** Decides on a request that arrives: it starts, waits, or is refused at once because it could not end in time. */
 const offer = (state: SlotQueueState, call: WaitingCall, nowMs: number): Admission => {
     if (state.active < state.slots && state.waiting.length === 0) {
         return { kind: "start", state: { ...state, active: state.active + 1 } };
     }
-    const found = state.waiting.findIndex((other) => goesBefore(call, other));
-    const place = found < 0 ? state.waiting.length : found;
-    if (!fits(state, call, place, nowMs)) {
-        const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, expectedWaitMs(state, place));
+    const waiting = ranked(state, [...state.waiting, call], nowMs);
+    const ahead = waiting.indexOf(call);
+    if (!fits(state, call, ahead, nowMs)) {
+        const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, expectedWaitMs(state, ahead));
         return { kind: "refuse", state, retryAfterMs };
     }
-    const waiting = [...state.waiting.slice(0, place), call, ...state.waiting.slice(place)];
     return { kind: "wait", state: { ...state, waiting } };
 };
 
-/** Starts what fits into free slots and gives up what can't end in time any more. */
+/** Starts what fits into free slots and gives up at once what can't end in time any more. */
 const advance = (state: SlotQueueState, nowMs: number): Progress => {
     const started: number[] = [];
     const expired: number[] = [];
     const kept: WaitingCall[] = [];
     let { active } = state;
-    for (const call of state.waiting) {
-        if (nowMs + state.serviceMs * REQUIRED_SERVICE_SHARE > call.deadlineMs) {
+    for (const call of ranked(state, state.waiting, nowMs)) {
+        const present = { ...state, active };
+        if (!fits(present, call, kept.length, nowMs)) {
             expired.push(call.key);
         }
         else if (active < state.slots) {
@@ -91,12 +114,23 @@
     return { state: { ...state, active, waiting: kept }, started, expired };
 };
 
+const averaged = (present: number | undefined, sample: number): number =>
+    present === undefined ? sample : present + SERVICE_TIME_WEIGHT * (sample - present);
+
 /** A request has left its slot. `serviceMs` is undefined if its time says nothing about the backend server. */
-const release = (state: SlotQueueState, serviceMs: number | undefined, nowMs: number): Progress => {
-    const average = serviceMs === undefined
-        ? state.serviceMs
-        : state.serviceMs + SERVICE_TIME_WEIGHT * (serviceMs - state.serviceMs);
-    return advance({ ...state, active: Math.max(0, state.active - 1), serviceMs: average }, nowMs);
+const release = (
+    state: SlotQueueState,
+    route: string,
+    serviceMs: number | undefined,
+    nowMs: number,
+): Progress => {
+    const left = { ...state, active: Math.max(0, state.active - 1) };
+    if (serviceMs === undefined) {
+        return advance(left, nowMs);
+    }
+    const ofRoute = averaged(state.routeServiceMs.get(route), serviceMs);
+    const routeServiceMs = new Map(state.routeServiceMs).set(route, ofRoute);
+    return advance({ ...left, routeServiceMs, serviceMs: averaged(state.serviceMs, serviceMs) }, nowMs);
 };
 
 /** A waiting request is withdrawn, for example because its caller has left. */
@@ -107,5 +141,5 @@
 
 const resize = (state: SlotQueueState, slots: number): SlotQueueState => ({ ...state, slots });
 
-/** Admission to the slots of a backend server: by priority, and only what can end before its deadline. */
+/** Admission to the slots of a backend server: what can be on time first, and only what can end at all. */
 export const slotQueue = { create, offer, advance, release, withdraw, resize, expectedWaitMs } as const;
--- a/src/control/AdminService.ts
+++ b/src/control/AdminService.ts
@@ -79,7 +79,7 @@
             case "POST entries NAME take-back":
                 return this.takeBack(operator, name, request);
             default:
-                return die(ErrorKind.RequestInvalid, `there is no ${call}; see docs/OPERATING.md for the calls`);
+                return die(ErrorKind.RequestInvalid, `there is no ${call}; see docs/OPERATIONS.md for the calls`);
         }
     }
 
--- a/src/core/EventLog.ts
+++ b/src/core/EventLog.ts
@@ -2,6 +2,7 @@
 import { formatLogLine } from "./formatLogLine";
 import { formatTimestamp } from "./formatTimestamp";
 import { HybridClock } from "./HybridClock";
+import { logBudgets } from "./logBudgets";
 
 /** The fields of one event. Undefined fields are left out. */
 type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -11,9 +12,13 @@
     readonly write: (line: string) => unknown;
 };
 
+/** Lines of one event a second. A few dozen requests show what goes wrong; the counters tell how often. */
+const LINES_PER_SECOND = 40;
+
 /** Writes one line of key=value pairs an event, stamped with the hybrid logical clock. */
 export class EventLog {
     private readonly logger: pino.Logger;
+    private budget = logBudgets.initial;
 
     public constructor(
         private readonly processName: string,
@@ -37,6 +42,16 @@
         this.logger.error(this.stamp(event, fields));
     }
 
+    /** Writes a line about one of many requests, unless its event has used up its lines of this second. */
+    public request(event: string, fields: EventFields): void {
+        const { allowed, state, summary } = logBudgets.take(this.budget, event, performance.now(), LINES_PER_SECOND);
+        this.budget = state;
+        summary.forEach((lines, name) => this.warn("lines-left-out", { name, lines }));
+        if (allowed) {
+            this.info(event, fields);
+        }
+    }
+
     private stamp(event: string, fields: EventFields): EventFields {
         return { at: formatTimestamp(this.hybridClock.tick()), process: this.processName, event, ...fields };
     }
--- a/src/deployment/DeploymentNodeSettings.ts
+++ b/src/deployment/DeploymentNodeSettings.ts
@@ -14,6 +14,8 @@
     /** The service of the backend server on this host. */
     readonly service: string;
     readonly secret: string;
+    /** Port for metrics on this host; none are served without it. */
+    readonly metricsPort: number | undefined;
     readonly headerNames: HeaderNames;
     /** Time after which a leaving backend server may get no more requests. */
     readonly drainMs: number;
--- /dev/null
+++ b/src/deployment/NodeMetrics.ts
@@ -0,0 +1,85 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** What the gauges of a node show when they are read. */
+type NodeReadings = {
+    readonly configurationVersion: () => number;
+    readonly knownBackends: () => number;
+    readonly activeRequests: () => number;
+    readonly activeForBackend: () => number;
+    readonly openedConnections: () => number;
+    readonly droppedLogLines: () => number;
+};
+
+/** Seconds. The targets of ordinary routes lie between a tenth of a second and a second. */
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4];
+
+/** The counters, histograms and gauges of a node. Labels take a few values each, never ids. */
+export class NodeMetrics {
+    public readonly registry = new Registry();
+    private readonly requests: Counter;
+    private readonly latency: Histogram;
+    private readonly attempts: Counter;
+    private readonly refused: Counter;
+
+    public constructor(readings: NodeReadings) {
+        const registers = [this.registry];
+        this.requests = new Counter({
+            name: "filbertdeal_requests_total",
+            help: "Requests of callers, by status and, where this node answered itself, the reason",
+            labelNames: ["status", "reason"],
+            registers,
+        });
+        this.latency = new Histogram({
+            name: "filbertdeal_request_seconds",
+            help: "Time from a caller's request to its answer",
+            buckets: LATENCY_BUCKETS_SECONDS,
+            registers,
+        });
+        this.attempts = new Counter({
+            name: "filbertdeal_attempts_total",
+            help: "Attempts at requests of callers, by outcome",
+            labelNames: ["outcome"],
+            registers,
+        });
+        this.refused = new Counter({
+            name: "filbertdeal_backend_refusals_total",
+            help: "Requests for the backend server of this host that were not served, by reason",
+            labelNames: ["reason"],
+            registers,
+        });
+        this.gauge("configuration_version", "Version of the configuration in force", readings.configurationVersion);
+        this.gauge("known_backends", "Backend servers that requests may be sent to", readings.knownBackends);
+        this.gauge("active_requests", "Requests of callers in progress", readings.activeRequests);
+        this.gauge("backend_active_requests", "Requests that run or wait here", readings.activeForBackend);
+        this.gauge(
+            "backend_connections_opened",
+            "Connections to the backend server so far",
+            readings.openedConnections,
+        );
+        this.gauge("log_lines_dropped", "Log lines that found no reader so far", readings.droppedLogLines);
+    }
+
+    public countRequest(status: number, reason: string, elapsedMs: number): void {
+        this.requests.inc({ status: String(status), reason });
+        this.latency.observe(elapsedMs / 1_000);
+    }
+
+    public countAttempt(outcome: string): void {
+        this.attempts.inc({ outcome });
+    }
+
+    public countRefused(reason: string): void {
+        this.refused.inc({ reason });
+    }
+
+    private gauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name: `filbertdeal_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -23,6 +23,7 @@
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
 import { MemberStatus } from "../membership/MemberStatus";
+import { MetricsServer } from "../metrics/MetricsServer";
 import { EvidenceRecorder } from "../proxy/EvidenceRecorder";
 import { parseAddress } from "../transport/parseAddress";
 import { PeerNetwork } from "../transport/PeerNetwork";
@@ -33,6 +34,7 @@
 import { DeploymentNodeSettings } from "./DeploymentNodeSettings";
 import { LocalBackendAdministration } from "./LocalBackendAdministration";
 import { moveVersions } from "./moveVersions";
+import { NodeMetrics } from "./NodeMetrics";
 import { ServiceMove } from "./ServiceMove";
 import { ServiceMoveState } from "./ServiceMoveState";
 
@@ -87,13 +89,22 @@
     let stopping = false;
 
     const client = resources.add(new BackendClient(headerNames));
+    const metrics: NodeMetrics = new NodeMetrics({
+        configurationVersion: () => routes?.version ?? 0,
+        knownBackends: () => [...choices.values()].flat().length,
+        activeRequests: () => ingress.activeRequests,
+        activeForBackend: () => receiver.activeCalls,
+        openedConnections: () => client.opened,
+        droppedLogLines: () => output.droppedLines(),
+    });
     const receiver = new CallReceiver({
         clock,
         client,
         leavingGraceMs: settings.drainMs * DRAIN_SHARE,
         onDecision: ({ requestId, service }, result, details) => {
-            const reason = result.kind === "answered" ? undefined : result.reason;
-            log.warn("call-not-served", { request: requestId, service, outcome: result.kind, reason, ...details });
+            const reason = result.kind === "answered" ? "answered" : result.reason;
+            metrics.countRefused(reason);
+            log.request("call-not-served", { request: requestId, service, outcome: result.kind, reason, ...details });
         },
     });
     const views = new BackendViews();
@@ -145,8 +156,9 @@
             slack: 1,
         },
         onAttempt: ({ attempt, choice, elapsedMs, requestId, result, route }) => {
+            metrics.countAttempt(result.kind === "answered" ? "answered" : result.reason);
             if (result.kind !== "answered") {
-                log.info("attempt-failed", {
+                log.request("attempt-failed", {
                     request: requestId,
                     route,
                     node: choice.nodeId,
@@ -183,8 +195,11 @@
                 const chosen = destinations.find(({ weight }) => (left -= weight) < 0);
                 return (chosen ?? destinations[0]).service;
             },
-            onRefusal: ({ requestId, ...refusal }) => log.info("request-refused", { request: requestId, ...refusal }),
-            onServed: () => undefined,
+            onRefusal: ({ requestId, ...refusal }) => {
+                metrics.countRequest(refusal.status, refusal.reason, refusal.elapsedMs);
+                log.request("request-refused", { request: requestId, ...refusal });
+            },
+            onServed: (status, elapsedMs) => metrics.countRequest(status, "", elapsedMs),
         }),
     );
 
@@ -259,6 +274,10 @@
     });
 
     await ingress.listen(addressOf(settings.callerAddress));
+    if (settings.metricsPort !== undefined) {
+        const server = resources.add(new MetricsServer(metrics.registry));
+        await server.listen({ host: localHost, port: settings.metricsPort });
+    }
     log.info("node-started", { zone, peerAddress, callerAddress: settings.callerAddress, seeds: seeds.join(",") });
 
     const stop = async (): Promise<void> => {
--- a/src/node/HostServer.ts
+++ b/src/node/HostServer.ts
@@ -84,7 +84,7 @@
                 drain();
                 return;
             default:
-                answer(response, 404, { error: "request-invalid", message: "see docs/OPERATING.md for the calls" });
+                answer(response, 404, { error: "request-invalid", message: "see docs/OPERATIONS.md for the calls" });
         }
     }
 
