Refuse callers of a node that is about to end; let late requests wait only a service time; count earlier attempts

(3) a waiting request behind stuck ones is told in time, so that it can be refused as not run instead of timing out.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -37,8 +37,9 @@
     readonly route: MeshRoute;
     readonly service: string;
     readonly order: Omit<CallOrder, "instanceId" | "remainingMs" | "targetRemainingMs">;
+    /** On the steady clock: answers after this are late. */
+    readonly targetAtMs: number;
     /** On the steady clock. */
-    readonly arrivedMs: number;
     readonly deadlineMs: number;
     readonly signal: AbortSignal;
 };
@@ -93,7 +94,7 @@
         return this.budgets.get(service) ?? repeatBudget.empty;
     }
 
-    private pick({ arrivedMs, route, service }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
+    private pick({ service, targetAtMs }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
         const { choices, clock, ownZone, random, views } = this.options;
         const nowMs = clock.monotonicMs();
         return pickBackend({
@@ -102,7 +103,7 @@
             ownZone,
             tried,
             nowMs,
-            targetRemainingMs: arrivedMs + route.targetLatencyMs - nowMs,
+            targetRemainingMs: targetAtMs - nowMs,
             random,
         });
     }
@@ -115,7 +116,7 @@
             ...call.order,
             instanceId,
             remainingMs: Math.floor(call.deadlineMs - startedMs),
-            targetRemainingMs: Math.floor(call.arrivedMs + call.route.targetLatencyMs - startedMs),
+            targetRemainingMs: Math.floor(call.targetAtMs - startedMs),
         };
         views.begin(nodeId, instanceId);
         const result = await calls.send(nodeId, choice.address, order, call.signal);
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -127,7 +127,9 @@
             return { kind: "not-run", reason: "no-room", retryAfterMs: admission.retryAfterMs };
         }
         if (admission.kind === "wait") {
-            const refusal = await this.waitForSlot(key, call.signal);
+            // Told in time, the node that asked can still refuse the request as not run.
+            const givenUpAtMs = deadlineMs - this.queue.serviceMs;
+            const refusal = await this.waitForSlot(key, call.signal, givenUpAtMs - arrivedMs);
             if (refusal) {
                 return refusal;
             }
@@ -145,17 +147,20 @@
         return leavingSinceMs === undefined || this.nowMs() - leavingSinceMs < this.options.leavingGraceMs;
     }
 
-    private waitForSlot(key: number, signal: AbortSignal): Promise<CallResult | undefined> {
+    private waitForSlot(key: number, signal: AbortSignal, limitMs: number): Promise<CallResult | undefined> {
         return new Promise((resolve) => {
             const finish = (refusal: CallResult | undefined): void => {
+                clearTimeout(timer);
                 this.waiting.delete(key);
                 signal.removeEventListener("abort", onAbort);
                 resolve(refusal);
             };
-            const onAbort = (): void => {
+            const withdraw = (refusal: CallResult): void => {
                 this.queue = slotQueue.withdraw(this.queue, key);
-                finish(cancelled);
+                finish(refusal);
             };
+            const onAbort = (): void => withdraw(cancelled);
+            const timer = setTimeout(() => withdraw(expired), limitMs);
             this.waiting.set(key, { start: () => finish(undefined), expire: () => finish(expired) });
             signal.addEventListener("abort", onAbort, { once: true });
         });
--- a/src/calls/IngressServer.ts
+++ b/src/calls/IngressServer.ts
@@ -6,6 +6,7 @@
 import { SocketAddress } from "../transport/SocketAddress";
 import { CallAnswer } from "./CallAnswer";
 import { CallDispatcher } from "./CallDispatcher";
+import { CallerPatience } from "./CallerPatience";
 import { CallResult } from "./CallResult";
 import { connectionHeaders } from "./connectionHeaders";
 import { HeaderNames } from "./HeaderNames";
@@ -73,8 +74,10 @@
 export class IngressServer implements Disposable {
     private readonly server: Server;
     private readonly removedHeaders: ReadonlySet<string>;
+    private readonly patience = new CallerPatience();
     private active = 0;
     private stopping = false;
+    private refusing = false;
 
     public constructor(private readonly options: IngressOptions) {
         const { callerService, deadlineMs, expectedInstance } = options.names;
@@ -105,6 +108,11 @@
         this.stopping = true;
     }
 
+    /** Refuses what still comes: there is no time left to serve it before the process ends. */
+    public refuseAll(): void {
+        this.refusing = true;
+    }
+
     public dispose(): void {
         this.server.close();
         this.server.closeAllConnections();
@@ -137,6 +145,10 @@
             this.note(request, found?.route, found?.configurationVersion ?? 0, refusal, arrivedMs, remainingMs);
             this.sendRefusal(request, response, refusal);
         };
+        if (this.refusing) {
+            refuse({ status: 503, reason: "stopping", retryAfterMs: MINIMUM_RETRY_AFTER_MS });
+            return;
+        }
         if (!found) {
             refuse({ status: 503, reason: "no-configuration", retryAfterMs: STARTING_RETRY_AFTER_MS });
             return;
@@ -162,7 +174,9 @@
     ): Promise<void> {
         const { callerService, chooseService, clock, dispatcher, names, onServed } = this.options;
         const stated = Number(this.header(request, names.deadlineMs));
-        const deadlineMs = arrivedMs + Math.min(route.timeoutMs, stated > 0 ? stated : route.timeoutMs);
+        const remainingMs = stated > 0 ? stated : route.timeoutMs;
+        const deadlineMs = arrivedMs + Math.min(route.timeoutMs, remainingMs);
+        const firstSentMs = arrivedMs - this.patience.elapsedMs(route.name, remainingMs);
         const caller = new AbortController();
         response.once("close", () => {
             if (!response.writableFinished) {
@@ -184,7 +198,7 @@
                 body,
                 priority: route.priority,
             },
-            arrivedMs,
+            targetAtMs: firstSentMs + route.targetLatencyMs,
             deadlineMs,
             signal: caller.signal,
         });
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -3,6 +3,7 @@
 import { ServiceMoveState } from "../../deployment/ServiceMoveState";
 import { BackendChoice } from "../BackendChoice";
 import { BackendView } from "../BackendView";
+import { CallerPatience } from "../CallerPatience";
 import { chooseVersions } from "../chooseVersions";
 import { localInstances } from "../localInstances";
 import { pickBackend } from "../pickBackend";
@@ -168,6 +169,15 @@
         expect(slotQueue.advance(state, 120).expired).toEqual([8]);
     });
 
+    test("do not keep a caller waiting for an answer that is late already", () => {
+        let state = filled(2);
+        for (let key = 10; key < 13; key += 1) {
+            state = slotQueue.offer(state, call(key, 1_000), 0).state;
+        }
+        expect(slotQueue.offer(state, call(20, 1_000, 1, 10), 0).kind).toBe("refuse");
+        expect(slotQueue.offer(filled(2), call(20, 1_000, 1, 10), 0).kind).toBe("wait");
+    });
+
     test("learn how long the requests of a route take", () => {
         let state = filled(1);
         for (let sample = 0; sample < 60; sample += 1) {
@@ -185,6 +195,27 @@
     });
 });
 
+describe("a caller that has less time left than others on its route", () => {
+    const learned = (remaining: readonly number[]) => {
+        const patience = new CallerPatience();
+        remaining.forEach((remainingMs) => patience.elapsedMs("tiles", remainingMs));
+        return patience;
+    };
+
+    test("has tried before", () => {
+        const patience = learned(Array<number>(12).fill(3_000));
+        expect(patience.elapsedMs("tiles", 2_200)).toBe(800);
+        expect(patience.elapsedMs("tiles", 2_995)).toBe(0);
+        expect(patience.elapsedMs("orders", 2_200)).toBe(0);
+    });
+
+    test("is not taken for one on a route of calls within other requests", () => {
+        const random = new RandomSource(1);
+        const patience = learned(Array.from({ length: 100 }, () => random.integer(100, 2_000)));
+        expect(patience.elapsedMs("tiles", 900)).toBe(0);
+    });
+});
+
 describe("the budget of repetitions", () => {
     const allowance = { ratio: 0.1, windowMs: 10_000, slack: 1 };
 
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -40,6 +40,12 @@
 /** Weight of a new sample in the moving averages: about the last 20 requests count. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
+/** Work varies: a request counts as able to be on time if this many times its usual service time is left. */
+const ON_TIME_MARGIN = 1.5;
+
+/** A request that will be late waits at most this many service times; its caller does better to come back. */
+const LATE_WAIT_SHARE = 1;
+
 /** Callers come back no sooner than this: one round trip between hosts and some work. */
 const MINIMUM_RETRY_AFTER_MS = 20;
 
@@ -59,23 +65,28 @@
     active < slots && ahead === 0 ? 0 : ((Math.max(0, active - slots) + ahead + 1) * serviceMs) / slots;
 
 const canBeOnTime = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
-    nowMs + serviceMsOf(state, call) <= call.targetAtMs;
+    nowMs + serviceMsOf(state, call) * ON_TIME_MARGIN <= call.targetAtMs;
 
-const fits = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean =>
-    nowMs + expectedWaitMs(state, ahead) + serviceMsOf(state, call) <= call.deadlineMs;
+/** True if a request with `ahead` others in front of it may wait: it can end in time, and is not late for long. */
+const mayWait = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean => {
+    const waitMs = expectedWaitMs(state, ahead);
+    if (nowMs + waitMs + serviceMsOf(state, call) > call.deadlineMs) {
+        return false;
+    }
+    return canBeOnTime(state, call, nowMs) || waitMs <= state.serviceMs * LATE_WAIT_SHARE;
+};
 
 /**
  * Requests that can still be on time come first, so that a backlog of late ones does not make all others late too;
- * then the more urgent; then the one whose time is over sooner.
+ * then the more urgent; then, of those on time, the one whose target is nearer, and of those late, the one that has
+ * more time left.
  */
 const ranked = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
-    const late = new Map(calls.map((call) => [call.key, canBeOnTime(state, call, nowMs) ? 0 : 1]));
-    const lateOf = ({ key }: WaitingCall): number => late.get(key) ?? 1;
-    return [...calls].sort((left, right) =>
-        lateOf(left) - lateOf(right)
-        || left.priority - right.priority
-        || (lateOf(left) === 0 ? left.targetAtMs - right.targetAtMs : left.deadlineMs - right.deadlineMs)
-    );
+    const onTime = calls.filter((call) => canBeOnTime(state, call, nowMs));
+    const late = calls.filter((call) => !onTime.includes(call));
+    onTime.sort((left, right) => left.priority - right.priority || left.targetAtMs - right.targetAtMs);
+    late.sort((left, right) => left.priority - right.priority || right.deadlineMs - left.deadlineMs);
+    return [...onTime, ...late];
 };
 
 /** Decides on a request that arrives: it starts, waits, or is refused at once because it could not end in time. */
@@ -85,7 +96,7 @@
     }
     const waiting = ranked(state, [...state.waiting, call], nowMs);
     const ahead = waiting.indexOf(call);
-    if (!fits(state, call, ahead, nowMs)) {
+    if (!mayWait(state, call, ahead, nowMs)) {
         const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, expectedWaitMs(state, ahead));
         return { kind: "refuse", state, retryAfterMs };
     }
@@ -100,7 +111,7 @@
     let { active } = state;
     for (const call of ranked(state, state.waiting, nowMs)) {
         const present = { ...state, active };
-        if (!fits(present, call, kept.length, nowMs)) {
+        if (!mayWait(present, call, kept.length, nowMs)) {
             expired.push(call.key);
         }
         else if (active < state.slots) {
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -59,6 +59,9 @@
 /** After the stop signal, callers of this host keep coming until the platform has noticed: two of its questions. */
 const STOP_NOTICE_MS = 2_500;
 
+/** Part of the grace after which requests are refused: those before have the rest of it to end. */
+const STOP_ACCEPT_SHARE = 0.5;
+
 /** What is still under way this long before the process is killed is given up. */
 const STOP_RESERVE_MS = 400;
 const STOP_CHECK_MS = 50;
@@ -293,6 +296,9 @@
             if (noticed && active() === 0) {
                 break;
             }
+            if (clock.monotonicMs() - startedMs >= settings.stopGraceMs * STOP_ACCEPT_SHARE) {
+                ingress.refuseAll();
+            }
             await pause(STOP_CHECK_MS);
         }
         membership.leave();
