Try backend servers that were not heard of; weigh the bytes of a route before crossing zones

A fixed zone penalty kept small answers near slow servers. Change: 5 in 100 requests may go to one of the own zone that was not heard of for 1.5 s; the penalty grows with bytes.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -47,6 +47,9 @@
 /** Nodes that may refuse a request before the caller is refused. */
 const MAXIMUM_REFUSALS = 2;
 
+/** Weight of a new sample in the moving average of a route's bytes: about the last 20 requests count. */
+const BYTES_WEIGHT = 0.05;
+
 /** With less time than this another attempt can't be answered: two hops and the shortest work. */
 const MINIMUM_ATTEMPT_MS = 15;
 
@@ -55,6 +58,7 @@
 
 /** Makes the attempts of a request within the route's limits, the budget of repetitions and the deadline. */
 export class CallDispatcher {
+    private readonly usualBytes = new Map<string, number>();
     private readonly budgets = new Map<string, typeof repeatBudget.empty>();
 
     public constructor(private readonly options: DispatcherOptions) {}
@@ -94,7 +98,10 @@
         return this.budgets.get(service) ?? repeatBudget.empty;
     }
 
-    private pick({ service, targetAtMs }: DispatchedCall, tried: ReadonlySet<string>): BackendChoice | undefined {
+    private pick(
+        { route, service, targetAtMs }: DispatchedCall,
+        tried: ReadonlySet<string>,
+    ): BackendChoice | undefined {
         const { choices, clock, ownZone, random, views } = this.options;
         const nowMs = clock.monotonicMs();
         return pickBackend({
@@ -104,6 +111,7 @@
             tried,
             nowMs,
             targetRemainingMs: targetAtMs - nowMs,
+            usualBytes: this.usualBytes.get(route.name) ?? 0,
             random,
         });
     }
@@ -122,11 +130,21 @@
         const result = await calls.send(nodeId, choice.address, order, call.signal);
         const endedMs = clock.monotonicMs();
         views.end(nodeId, instanceId, result, endedMs);
+        this.noteBytes(call, result);
         const { requestId } = call.order;
         onAttempt({ requestId, route: call.route.name, choice, result, elapsedMs: endedMs - startedMs, attempt });
         return result;
     }
 
+    private noteBytes({ order, route }: DispatchedCall, result: CallResult): void {
+        if (result.kind !== "answered") {
+            return;
+        }
+        const bytes = order.body.length + result.answer.body.length;
+        const usual = this.usualBytes.get(route.name) ?? bytes;
+        this.usualBytes.set(route.name, usual + BYTES_WEIGHT * (bytes - usual));
+    }
+
     private mayRepeat(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
         const { allowance, clock } = this.options;
         const { route, signal } = call;
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -37,6 +37,7 @@
     views: Readonly<Record<string, BackendView>>,
     tried: string[] = [],
     targetRemainingMs = 200,
+    usualBytes = 5_000,
 ) => pickBackend({
     choices,
     viewOf: ({ nodeId }) => views[nodeId] ?? view(),
@@ -44,6 +45,7 @@
     tried: new Set(tried),
     nowMs: 1_000,
     targetRemainingMs,
+    usualBytes,
     random: new RandomSource(1),
 })?.nodeId;
 
@@ -73,6 +75,37 @@
         expect(pick(across, views, [], 300)).toBe("far");
     });
 
+    test("crosses zones more readily for few bytes", () => {
+        const across = [choice("slow"), choice("far", { zone: "b" })];
+        const views = { slow: view({ serviceMs: 180 }), far: view({ serviceMs: 100 }) };
+        expect(pick(across, views, [], 300, 20_000)).toBe("slow");
+        expect(pick(across, views, [], 300, 400)).toBe("far");
+    });
+
+    test("does not forget one that was not heard of for long, but leaves it to few requests", () => {
+        const views: Readonly<Record<string, BackendView>> = {
+            one: view({ heardMs: 5_000 }),
+            fresh: view({ heardMs: 0, serviceMs: undefined }),
+        };
+        const random = new RandomSource(3);
+        let trials = 0;
+        for (let request = 0; request < 1_000; request += 1) {
+            const picked = pickBackend({
+                choices: [choice("one"), choice("fresh", { warmAtMs: 9_000 })],
+                viewOf: ({ nodeId }) => views[nodeId],
+                ownZone: "a",
+                tried: new Set(),
+                nowMs: 5_000,
+                targetRemainingMs: 200,
+                usualBytes: 0,
+                random,
+            });
+            trials += picked?.nodeId === "fresh" ? 1 : 0;
+        }
+        expect(trials).toBeGreaterThan(10);
+        expect(trials).toBeLessThan(100);
+    });
+
     test("leaves a node alone that could not be reached, but not if there is no other", () => {
         const lost = view({ unreachableInARow: 2, serviceMs: 1 });
         expect(pick(two, { one: lost })).toBe("two");
--- a/src/calls/pickBackend.ts
+++ b/src/calls/pickBackend.ts
@@ -12,6 +12,8 @@
     readonly nowMs: number;
     /** Time from now until an answer counts as late; negative once it is. */
     readonly targetRemainingMs: number;
+    /** Bytes that the request and its answer usually have together. */
+    readonly usualBytes: number;
     readonly random: RandomSource;
 };
 
@@ -19,7 +21,17 @@
 const SAMPLE_OF_OTHER_ZONES = 2;
 
 /** What crossing zones must save at least: the way there and back, and the price of the bytes. */
-const ZONE_PENALTY_MS = 60;
+const ZONE_PENALTY_MS = 15;
+const ZONE_PENALTY_MS_PER_KILOBYTE = 10;
+
+/** A backend server of the own zone that was not heard of for this long is tried, so that it is not forgotten. */
+const UNHEARD_MS = 1_500;
+
+/** At most this part of the requests goes to backend servers that were not heard of. */
+const TRIAL_SHARE = 0.05;
+
+/** One that failed so much when it was last heard of is left to others' trials for now. */
+const TRIAL_FAILURE_LIMIT = 0.3;
 
 /**
  * An answer that is expected within this part of the time to the target is soon enough: work varies by about twice
@@ -65,7 +77,7 @@
 
 /** The cost of sending the request to this backend server, in milliseconds. */
 const costOf = (question: PickQuestion, choice: BackendChoice): number => {
-    const { nowMs, ownZone, targetRemainingMs, viewOf } = question;
+    const { nowMs, ownZone, targetRemainingMs, usualBytes, viewOf } = question;
     const view = viewOf(choice);
     const fade = 0.5 ** ((nowMs - view.heardMs) / HALF_LIFE_MS);
     const serviceMs = (view.serviceMs ?? DEFAULT_SERVICE_MS) * (nowMs < choice.warmAtMs ? COLD_FACTOR : 1);
@@ -73,7 +85,7 @@
     const waitMs = (serviceMs * Math.max(0, load + 1 - choice.slots)) / choice.slots;
     const fullnessMs = serviceMs * FULLNESS_SHARE * Math.min(1, load / choice.slots);
     const failureMs = view.failureShare * fade * FAILURE_PENALTY_MS;
-    const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS;
+    const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS + (usualBytes / 1_024) * ZONE_PENALTY_MS_PER_KILOBYTE;
     return waitingCostMs(serviceMs + waitMs + fullnessMs, targetRemainingMs) + failureMs + zoneMs;
 };
 
@@ -88,11 +100,34 @@
     return [...own, ...drawn];
 };
 
+/** The backend server of the own zone that is due to be tried, if it is time for a trial at all. */
+const pickTrial = (question: PickQuestion, choices: readonly BackendChoice[]): BackendChoice | undefined => {
+    const { nowMs, ownZone, random, viewOf } = question;
+    if (random.fraction() >= TRIAL_SHARE) {
+        return undefined;
+    }
+    let longest: BackendChoice | undefined;
+    let heardMs = nowMs - UNHEARD_MS;
+    for (const choice of choices) {
+        const view = viewOf(choice);
+        const isDue = view.outstanding === 0 && view.failureShare < TRIAL_FAILURE_LIMIT;
+        if (choice.zone === ownZone && isDue && view.heardMs < heardMs) {
+            longest = choice;
+            ({ heardMs } = view);
+        }
+    }
+    return longest;
+};
+
 /** Chooses the backend server where the request costs least, or undefined if none may be tried. */
 export const pickBackend = (question: PickQuestion): BackendChoice | undefined => {
     const { choices, nowMs, ownZone, random, tried, viewOf } = question;
     const untried = choices.filter(({ nodeId }) => !tried.has(nodeId));
     const reachable = untried.filter((choice) => !isHeldBack(viewOf(choice), nowMs));
+    const trial = pickTrial(question, reachable);
+    if (trial) {
+        return trial;
+    }
     let best: BackendChoice | undefined;
     let bestMs = Infinity;
     for (const choice of sample(reachable.length > 0 ? reachable : untried, ownZone, random)) {
