--- a/src/calls/BackendViews.ts
+++ b/src/calls/BackendViews.ts
@@ -2,6 +2,9 @@
 import { BackendView } from "./BackendView";
 import { CallResult } from "./CallResult";
 
+/** The way to the backend server, or the node beside it, does not work. */
+const lostReasons: ReadonlySet<string> = new Set(["unreachable", "broken", "silent"]);
+
 const unknownView: BackendView = {
     outstanding: 0,
     others: 0,
@@ -24,7 +27,7 @@
     }
 
     public end(nodeId: string, instanceId: string, result: CallResult, nowMs: number): void {
-        const lost = result.kind !== "answered" && (result.reason === "unreachable" || result.reason === "broken");
+        const lost = result.kind !== "answered" && lostReasons.has(result.reason);
         this.change(nodeId, instanceId, (view) => ({
             outstanding: Math.max(0, view.outstanding - 1),
             unreachableInARow: lost ? view.unreachableInARow + 1 : 0,
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -127,7 +127,7 @@
             targetRemainingMs: Math.floor(call.targetAtMs - startedMs),
         };
         views.begin(nodeId, instanceId);
-        const result = await calls.send(nodeId, choice.address, order, call.signal);
+        const result = await calls.send(nodeId, choice.address, order, call.route.idempotent, call.signal);
         const endedMs = clock.monotonicMs();
         views.end(nodeId, instanceId, result, endedMs);
         this.noteBytes(call, result);
--- a/src/calls/CallResult.ts
+++ b/src/calls/CallResult.ts
@@ -28,4 +28,11 @@
     | "expired"
     | "cancelled";
 
-type UnknownReason = "broken" | "timed-out" | "cancelled" | "unsigned";
+type UnknownReason =
+    | "broken"
+    | "timed-out"
+    | "cancelled"
+    /** A success without the backend server's signature, or a promise that it does not make. */
+    | "unsigned"
+    /** The node beside the backend server gives no sign of life. */
+    | "silent";
--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -21,6 +21,8 @@
 
 type Outstanding = {
     readonly settle: (result: CallResult) => void;
+    readonly mayRepeat: boolean;
+    readonly sentAtMs: number;
 };
 
 /** One link to a node, and the requests that wait for its results. */
@@ -28,21 +30,37 @@
     readonly link: Link;
     readonly outstanding: Map<number, Outstanding>;
     usedAtMs: number;
+    /** When anything last came over the link. */
+    heardAtMs: number;
+    /** When a sign of life was asked for that has not come yet. */
+    askedAtMs: number | undefined;
 };
 
 /** A link that carried no request for this long is closed. */
 const UNUSED_LINK_MS = 60_000;
 
+/** How often links are looked at for silence. */
+const SILENCE_CHECK_MS = 100;
+
+/** A link on which requests wait and nothing came for this long is asked for a sign of life. */
+const ASK_AFTER_MS = 250;
+
+/** Without a sign of life for this long the link counts as silent: far beyond a busy node's usual pause. */
+const SILENT_AFTER_MS = 600;
+
 /** How long a request waits for a link to open before another node is tried: several round trips within a region. */
 const OPEN_WAIT_MS = 250;
 
 const unreachable: CallResult = { kind: "not-run", reason: "unreachable", retryAfterMs: 0 };
+const silent: CallResult = { kind: "unknown", reason: "silent" };
 const broken: CallResult = { kind: "unknown", reason: "broken" };
 
 /** Sends requests to the nodes beside backend servers and serves those of other nodes. */
 export class CallTask implements Disposable {
     private readonly resources = new DisposableStore();
     private readonly links = new Map<string, NodeLink>();
+    /** Silent links: what may not be repeated still waits for its result there. */
+    private readonly retired = new Set<NodeLink>();
     private readonly served = new Map<object, Map<number, AbortController>>();
     private lastNumber = 0;
 
@@ -58,7 +76,9 @@
             },
         });
         this.resources.every(UNUSED_LINK_MS / 4, () => this.closeUnused());
+        this.resources.every(SILENCE_CHECK_MS, () => this.links.forEach((link, address) => this.check(address, link)));
         this.resources.add({ dispose: () => this.links.forEach(({ link }) => link.dispose()) });
+        this.resources.add({ dispose: () => this.retired.forEach(({ link }) => link.dispose()) });
     }
 
     /** Opens the link to a node ahead of the first request. */
@@ -67,7 +87,13 @@
     }
 
     /** Makes one attempt at a request, at the given node. It never tries again by itself. */
-    public async send(nodeId: string, address: string, order: CallOrder, signal: AbortSignal): Promise<CallResult> {
+    public async send(
+        nodeId: string,
+        address: string,
+        order: CallOrder,
+        mayRepeat: boolean,
+        signal: AbortSignal,
+    ): Promise<CallResult> {
         if (nodeId === this.options.ownId) {
             const result = await this.options.receiver.receive(nodeId, order, signal);
             this.noteLoad(nodeId, this.options.receiver.loadFor(nodeId));
@@ -83,21 +109,28 @@
         if (signal.aborted) {
             return { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
         }
-        return this.exchange(nodeLink, order, signal);
+        return this.exchange(nodeLink, order, mayRepeat, signal);
     }
 
     public dispose(): Promise<void> {
         return this.resources.dispose();
     }
 
-    private exchange(nodeLink: NodeLink, order: CallOrder, signal: AbortSignal): Promise<CallResult> {
+    private exchange(
+        nodeLink: NodeLink,
+        order: CallOrder,
+        mayRepeat: boolean,
+        signal: AbortSignal,
+    ): Promise<CallResult> {
         const { link, outstanding } = nodeLink;
         this.lastNumber += 1;
         const number = this.lastNumber;
-        nodeLink.usedAtMs = performance.now();
+        const sentAtMs = performance.now();
+        nodeLink.usedAtMs = sentAtMs;
         return new Promise((resolve) => {
             const settle = (result: CallResult): void => {
                 outstanding.delete(number);
+                this.disposeRetired(nodeLink);
                 clearTimeout(timer);
                 signal.removeEventListener("abort", onAbort);
                 resolve(result);
@@ -112,7 +145,7 @@
             };
             const timer = setTimeout(onTimeout, order.remainingMs);
             signal.addEventListener("abort", onAbort, { once: true });
-            outstanding.set(number, { settle });
+            outstanding.set(number, { settle, mayRepeat, sentAtMs });
             if (link.send({ kind: "order", number, order } satisfies CallMessage) === 0) {
                 settle(unreachable);
             }
@@ -127,10 +160,20 @@
         }
         const outstanding = new Map<number, Outstanding>();
         const link = this.options.network.open(Channel.Calls, address, {
-            onMessage: (body) => this.onResult(link.peerIdentity(), outstanding, body as CallMessage),
+            onMessage: (body) => {
+                opened.heardAtMs = performance.now();
+                opened.askedAtMs = undefined;
+                this.onResult(link.peerIdentity(), outstanding, body as CallMessage);
+            },
             onClose: () => [...outstanding.values()].forEach(({ settle }) => settle(broken)),
         });
-        const opened: NodeLink = { link, outstanding, usedAtMs: performance.now() };
+        const opened: NodeLink = {
+            link,
+            outstanding,
+            usedAtMs: performance.now(),
+            heardAtMs: 0,
+            askedAtMs: undefined,
+        };
         this.links.set(text, opened);
         return opened;
     }
@@ -152,6 +195,10 @@
     private serve(key: object, from: string, send: (message: CallMessage) => void, message: CallMessage): void {
         const running = this.served.get(key) ?? new Map<number, AbortController>();
         this.served.set(key, running);
+        if (message.kind === "ping") {
+            send({ kind: "pong" });
+            return;
+        }
         if (message.kind === "cancel") {
             running.get(message.number)?.abort();
             return;
@@ -177,6 +224,42 @@
         }
     }
 
+    /** Asks for a sign of life where results are due, and gives the link up if none comes. */
+    private check(address: string, nodeLink: NodeLink): void {
+        const nowMs = performance.now();
+        const { askedAtMs, heardAtMs, link, outstanding } = nodeLink;
+        if (outstanding.size === 0 || !link.isOpen()) {
+            nodeLink.askedAtMs = undefined;
+            return;
+        }
+        if (askedAtMs !== undefined) {
+            if (nowMs - askedAtMs >= SILENT_AFTER_MS) {
+                this.retire(address, nodeLink);
+            }
+            return;
+        }
+        const oldestMs = Math.min(...[...outstanding.values()].map(({ sentAtMs }) => sentAtMs));
+        if (nowMs - Math.max(heardAtMs, oldestMs) >= ASK_AFTER_MS) {
+            nodeLink.askedAtMs = nowMs;
+            link.send({ kind: "ping" } satisfies CallMessage);
+        }
+    }
+
+    /** New requests get a new link. What may be repeated is told at once; the rest still waits on the silent one. */
+    private retire(address: string, nodeLink: NodeLink): void {
+        this.links.delete(address);
+        this.retired.add(nodeLink);
+        [...nodeLink.outstanding.values()].filter(({ mayRepeat }) => mayRepeat).forEach(({ settle }) => settle(silent));
+        this.disposeRetired(nodeLink);
+    }
+
+    private disposeRetired(nodeLink: NodeLink): void {
+        if (this.retired.has(nodeLink) && nodeLink.outstanding.size === 0) {
+            this.retired.delete(nodeLink);
+            nodeLink.link.dispose();
+        }
+    }
+
     private closeUnused(): void {
         const limitMs = performance.now() - UNUSED_LINK_MS;
         for (const [address, { link, outstanding, usedAtMs }] of this.links) {
--- a/src/deployment/DeploymentAdministration.ts
+++ b/src/deployment/DeploymentAdministration.ts
@@ -1,3 +1,4 @@
+import { configurationDeltas } from "../configuration/configurationDeltas";
 import { MeshConfiguration } from "../configuration/MeshConfiguration";
 import { ConsensusStatus } from "../consensus/ConsensusStatus";
 import { ProposalOutcome } from "../consensus/ProposalOutcome";
@@ -29,7 +30,10 @@
         baseVersion: number,
         configuration: MeshConfiguration,
     ): Promise<AdministrationResult<number>> {
-        const result = await this.carryOut({ kind: "put-configuration", baseVersion, configuration });
+        const present = this.options.state().configuration;
+        const base = present?.version === baseVersion ? present : undefined;
+        const delta = configurationDeltas.between(base, configuration);
+        const result = await this.carryOut({ kind: "put-configuration", baseVersion, delta });
         const currentVersion = this.options.state().configuration?.version ?? 0;
         this.options.log.info("configuration-put", {
             version: configuration.version,
--- a/src/deployment/DeploymentCommand.ts
+++ b/src/deployment/DeploymentCommand.ts
@@ -1,4 +1,4 @@
-import { MeshConfiguration } from "../configuration/MeshConfiguration";
+import { ConfigurationDelta } from "../configuration/ConfigurationDelta";
 import { ServiceMoveState } from "./ServiceMoveState";
 
 /** The commands of the replicated deployment. Times come with the command, so that every replica applies the same. */
@@ -7,7 +7,8 @@
         readonly kind: "put-configuration";
         /** The version that the new configuration builds on; 0 for the first one. */
         readonly baseVersion: number;
-        readonly configuration: MeshConfiguration;
+        /** From the base version, or from nothing. */
+        readonly delta: ConfigurationDelta;
     }
     | {
         readonly kind: "start-move";
--- a/src/deployment/applyDeploymentCommand.ts
+++ b/src/deployment/applyDeploymentCommand.ts
@@ -25,8 +25,8 @@
     answer: { kind: "accepted", revision: state.revision },
 });
 
-const putConfiguration = (state: DeploymentState, { baseVersion, configuration }: PutCommand): Result => {
-    const digest = configurationDeltas.digest(configuration);
+const putConfiguration = (state: DeploymentState, { baseVersion, delta }: PutCommand): Result => {
+    const { digest, version } = delta;
     if (state.acceptedDigests.has(digest)) {
         return accepted(state);
     }
@@ -34,13 +34,15 @@
     if (baseVersion !== currentVersion) {
         return { state, answer: { kind: "conflict", currentVersion } };
     }
-    const isNewer = configuration.version > currentVersion;
-    const fault = isNewer
-        ? findConfigurationFault(configuration)
-        : `its version must be above ${currentVersion}, the current one`;
-    if (fault) {
+    if (version <= currentVersion) {
+        const fault = `its version must be above ${currentVersion}, the current one`;
         return { state, answer: { kind: "invalid", fault } };
     }
+    const configuration = configurationDeltas.patch(state.configuration, delta);
+    const fault = configuration ? findConfigurationFault(configuration) : "its names are not unique";
+    if (!configuration || fault) {
+        return { state, answer: { kind: "invalid", fault: fault ?? "" } };
+    }
     const digests = [...state.acceptedDigests, digest].slice(-MAXIMUM_DIGESTS);
     return accepted({
         ...state,
--- a/src/deployment/decideServiceMove.ts
+++ b/src/deployment/decideServiceMove.ts
@@ -30,11 +30,15 @@
 /** A false alarm at this strength comes about once in e^8 batches. */
 const TAKE_BACK_STRENGTH = 8;
 
-/** The last step begins this long before the deadline: later faults still show in the trial. */
-const LAST_STEP_MS = 2_200;
+/** Nearly all requests go to the target version then; the rest shows whether a fault is the version's own. */
+const WIDE_SHARE = 0.9;
 
-/** All requests go to the target version this long before the old backend servers are let go. */
-const LAST_STEP_WATCH_MS = 1_200;
+/** The wide step begins this long before the deadline: later faults still show in the trial. */
+const WIDE_STEP_MS = 2_400;
+
+/** How long the wide step is watched, and how long all requests go to the target version before the end. */
+const WIDE_WATCH_MS = 1_000;
+const WHOLE_WATCH_MS = 600;
 
 /** Below this a verdict rests on too little. */
 const MINIMUM_TARGET_REQUESTS = 20;
@@ -42,27 +46,37 @@
 
 const takeBack = (reason: string): MoveDecision => ({ kind: "end-move", state: ServiceMoveState.TakenBack, reason });
 
+const wait: MoveDecision = { kind: "wait" };
+
+const decideTrial = ({ remainingMs, targetRequests, watchedMs }: MoveQuestion): MoveDecision => {
+    if (remainingMs > WIDE_STEP_MS) {
+        return wait;
+    }
+    return targetRequests < MINIMUM_TARGET_REQUESTS || watchedMs < MINIMUM_WATCH_MS
+        ? takeBack("too little evidence before the deadline")
+        : { kind: "change-share", share: WIDE_SHARE, reason: "trial passed" };
+};
+
 /**
  * The next step of a move. A trial share runs until shortly before the deadline, so that faults that show late or
- * under load harm few requests; then everything moves at once. Without enough evidence the version is taken back.
+ * under load harm few requests; then nearly everything moves, and at last all. Without enough evidence the version is
+ * taken back.
  */
 export const decideServiceMove = (question: MoveQuestion): MoveDecision => {
-    const { atShareMs, remainingMs, share, suspicion, targetRequests, watchedMs } = question;
+    const { atShareMs, share, suspicion } = question;
     if (suspicion && suspicion.strength >= TAKE_BACK_STRENGTH) {
         return takeBack(`${suspicion.signal} on route ${suspicion.route}`);
     }
     if (share === 0) {
         return { kind: "change-share", share: TRIAL_SHARE, reason: "trial" };
     }
-    if (share < 1 && remainingMs > LAST_STEP_MS) {
-        return { kind: "wait" };
+    if (share < WIDE_SHARE) {
+        return decideTrial(question);
     }
     if (share < 1) {
-        return targetRequests < MINIMUM_TARGET_REQUESTS || watchedMs < MINIMUM_WATCH_MS
-            ? takeBack("too little evidence before the deadline")
-            : { kind: "change-share", share: 1, reason: "trial passed" };
+        return atShareMs < WIDE_WATCH_MS ? wait : { kind: "change-share", share: 1, reason: "wide step passed" };
     }
-    return atShareMs < LAST_STEP_WATCH_MS
-        ? { kind: "wait" }
+    return atShareMs < WHOLE_WATCH_MS
+        ? wait
         : { kind: "end-move", state: ServiceMoveState.Finished, reason: "in force and watched" };
 };
--- a/src/emulator/FaultProxy.ts
+++ b/src/emulator/FaultProxy.ts
@@ -68,6 +68,21 @@
         this.silenceOpen();
     }
 
+    /** Holds all bytes of the connections that are open now until they are released. */
+    public hold(): void {
+        this.pairs.forEach(({ client, server }) => {
+            client.pause();
+            server.pause();
+        });
+    }
+
+    public release(): void {
+        this.pairs.forEach(({ client, server }) => {
+            client.resume();
+            server.resume();
+        });
+    }
+
     /** Delays all bytes, one way. */
     public delay(delayMs: number): void {
         this.delayMs = delayMs;
