Make a second attempt where an answer is overdue; begin the wide step earlier

Change: a route's usual times are learned; beyond the mean and four deviations a second attempt is made elsewhere if there is room at once and the budget allows it.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -6,7 +6,9 @@
 import { CallOrder } from "./CallOrder";
 import { CallResult } from "./CallResult";
 import { CallTask } from "./CallTask";
+import { latencyEstimates } from "./latencyEstimates";
 import { pickBackend } from "./pickBackend";
+import { raceWithHedge } from "./raceWithHedge";
 import { repeatBudget } from "./repeatBudget";
 
 /** What attempts are made with. */
@@ -32,6 +34,12 @@
     readonly attempt: number;
 };
 
+/** How an attempt and its hedge ended. */
+type EndedRace = {
+    readonly result: CallResult;
+    readonly hedges: number;
+};
+
 /** A request that is to be served. */
 type DispatchedCall = {
     readonly route: MeshRoute;
@@ -58,6 +66,7 @@
 
 /** Makes the attempts of a request within the route's limits, the budget of repetitions and the deadline. */
 export class CallDispatcher {
+    private readonly latencies = new Map<string, Parameters<typeof latencyEstimates.note>[0]>();
     private readonly usualBytes = new Map<string, number>();
     private readonly budgets = new Map<string, typeof repeatBudget.empty>();
 
@@ -77,7 +86,9 @@
                 return mayHaveRun ?? last;
             }
             tried.add(choice.nodeId);
-            last = await this.attempt(call, choice, sent + 1);
+            const ended = await this.attemptWithHedge(call, choice, tried, sent + 1);
+            last = ended.result;
+            sent += ended.hedges;
             mayHaveRun = last.kind === "not-run" ? mayHaveRun : last;
             const reached = last.kind !== "not-run" || last.reason === "shed";
             sent += reached ? 1 : 0;
@@ -116,7 +127,47 @@
         });
     }
 
-    private async attempt(call: DispatchedCall, choice: BackendChoice, attempt: number): Promise<CallResult> {
+    /** Makes an attempt, and a second one elsewhere if the answer is overdue. The first good answer wins. */
+    private async attemptWithHedge(
+        call: DispatchedCall,
+        choice: BackendChoice,
+        tried: Set<string>,
+        attempt: number,
+    ): Promise<EndedRace> {
+        const delayMs = latencyEstimates.hedgeDelayMs(this.latencies.get(call.route.name));
+        const mayHedge = call.route.idempotent && attempt < call.route.maximumAttempts;
+        if (!mayHedge || delayMs === undefined) {
+            return { result: await this.attempt(call, choice, attempt, call.signal), hedges: 0 };
+        }
+        const { hedged, result } = await raceWithHedge({
+            first: (signal) => this.attempt(call, choice, attempt, signal),
+            chooseSecond: () => this.chooseHedge(call, tried, attempt + 1),
+            delayMs,
+            signal: call.signal,
+        });
+        return { result, hedges: hedged ? 1 : 0 };
+    }
+
+    /** A second attempt where there is room at once, if the budget of repetitions allows it. */
+    private chooseHedge(call: DispatchedCall, tried: Set<string>, attempt: number) {
+        const { allowance, clock, views } = this.options;
+        const nowMs = clock.monotonicMs();
+        const choice = this.pick(call, tried);
+        const isFree = choice && views.viewOf(choice).outstanding + views.viewOf(choice).others < choice.slots;
+        if (!choice || !isFree || !repeatBudget.mayRepeat(this.budgetOf(call), allowance, nowMs)) {
+            return undefined;
+        }
+        tried.add(choice.nodeId);
+        this.budgets.set(call.service, repeatBudget.onRepeat(this.budgetOf(call), allowance, nowMs));
+        return (signal: AbortSignal) => this.attempt(call, choice, attempt, signal);
+    }
+
+    private async attempt(
+        call: DispatchedCall,
+        choice: BackendChoice,
+        attempt: number,
+        signal: AbortSignal,
+    ): Promise<CallResult> {
         const { calls, clock, onAttempt, views } = this.options;
         const { instanceId, nodeId } = choice;
         const startedMs = clock.monotonicMs();
@@ -127,10 +178,11 @@
             targetRemainingMs: Math.floor(call.targetAtMs - startedMs),
         };
         views.begin(nodeId, instanceId);
-        const result = await calls.send(nodeId, choice.address, order, call.route.idempotent, call.signal);
+        const result = await calls.send(nodeId, choice.address, order, call.route.idempotent, signal);
         const endedMs = clock.monotonicMs();
         views.end(nodeId, instanceId, result, endedMs);
         this.noteBytes(call, result);
+        this.noteLatency(call, result, endedMs - startedMs);
         const { requestId } = call.order;
         onAttempt({ requestId, route: call.route.name, choice, result, elapsedMs: endedMs - startedMs, attempt });
         return result;
@@ -145,6 +197,12 @@
         this.usualBytes.set(route.name, usual + BYTES_WEIGHT * (bytes - usual));
     }
 
+    private noteLatency({ route }: DispatchedCall, result: CallResult, elapsedMs: number): void {
+        if (result.kind === "answered") {
+            this.latencies.set(route.name, latencyEstimates.note(this.latencies.get(route.name), elapsedMs));
+        }
+    }
+
     private mayRepeat(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
         const { allowance, clock } = this.options;
         const { route, signal } = call;
--- a/src/deployment/__tests__/decideServiceMove.test.ts
+++ b/src/deployment/__tests__/decideServiceMove.test.ts
@@ -33,6 +33,30 @@
         });
     });
 
+    test("ends before its deadline although decisions come only every quarter of a second", () => {
+        const intervalMs = 250;
+        let share = 0.05;
+        let shareSinceMs = 0;
+        for (let nowMs = 0;; nowMs += intervalMs) {
+            const decision = decideServiceMove({
+                ...question,
+                share,
+                remainingMs: 14_000 - nowMs,
+                atShareMs: nowMs - shareSinceMs,
+            });
+            if (decision.kind === "end-move") {
+                expect(decision.state).toBe(ServiceMoveState.Finished);
+                expect(nowMs).toBeLessThanOrEqual(14_000 - intervalMs);
+                return;
+            }
+            if (decision.kind === "change-share") {
+                share = decision.share;
+                // The change itself takes a while to be committed.
+                shareSinceMs = nowMs + 100;
+            }
+        }
+    });
+
     test.each([0, 0.05, 1])("at share %d is taken back on a strong suspicion", (share) => {
         const suspicion = { strength: 9, route: "tiles", signal: "errors" };
         expect(decideServiceMove({ ...question, share, suspicion })).toMatchObject({
--- a/src/deployment/decideServiceMove.ts
+++ b/src/deployment/decideServiceMove.ts
@@ -34,7 +34,7 @@
 const WIDE_SHARE = 0.9;
 
 /** The wide step begins this long before the deadline: later faults still show in the trial. */
-const WIDE_STEP_MS = 2_400;
+const WIDE_STEP_MS = 2_800;
 
 /** How long the wide step is watched, and how long all requests go to the target version before the end. */
 const WIDE_WATCH_MS = 1_000;
