--- a/src/consensus/ConsensusTask.ts
+++ b/src/consensus/ConsensusTask.ts
@@ -70,7 +70,7 @@
         this.state = initialState({ id, ...stored });
         this.appliedIndex = this.state.commitIndex;
         this.options.transport.follow(logQueries.membershipOf(this.state.log));
-        this.resetElectionTimer();
+        this.resetElectionTimer(timings.firstElectionTimeoutMs);
         this.resources.every(timings.heartbeatIntervalMs, () => this.mailbox.post({ kind: "heartbeat-timeout" }));
         this.resources.every(timings.quorumCheckMs, () => this.mailbox.post({ kind: "quorum-check-timeout" }));
         this.resources.add({ dispose: () => clearTimeout(this.electionTimer) });
@@ -258,10 +258,9 @@
         }
     }
 
-    private resetElectionTimer(): void {
-        const { random, timings } = this.options;
+    private resetElectionTimer(timeoutMs = this.options.timings.electionTimeoutMs): void {
         clearTimeout(this.electionTimer);
-        const delayMs = timings.electionTimeoutMs * (1 + random.fraction());
+        const delayMs = timeoutMs * (1 + this.options.random.fraction());
         this.electionTimer = setTimeout(() => {
             this.mailbox.post({ kind: "election-timeout" });
         }, delayMs);
--- a/src/consensus/__tests__/ConsensusTask.test.ts
+++ b/src/consensus/__tests__/ConsensusTask.test.ts
@@ -1,6 +1,7 @@
 import { RandomSource } from "../../core/RandomSource";
 import { ConsensusStatus } from "../ConsensusStatus";
 import { ConsensusTask } from "../ConsensusTask";
+import { ConsensusTimings } from "../ConsensusTimings";
 import { Membership } from "../Membership";
 import { MemoryReplicaStore } from "../MemoryReplicaStore";
 import { ReplicaStore } from "../ReplicaStore";
@@ -50,9 +51,14 @@
 }
 
 const membership: Membership = { voters: [{ id: "a", address: "" }], learners: [] };
-const timings = { electionTimeoutMs: 20, heartbeatIntervalMs: 10, quorumCheckMs: 20 };
+const timings: ConsensusTimings = { electionTimeoutMs: 20, heartbeatIntervalMs: 10, quorumCheckMs: 20 };
 
-const startTask = async (store: ReplicaStore, sum = new Sum(), snapshotEveryEntries = 1_000) => {
+const startTask = async (
+    store: ReplicaStore,
+    sum = new Sum(),
+    snapshotEveryEntries = 1_000,
+    taskTimings = timings,
+) => {
     let leads: () => void = () => undefined;
     let fails: (error: Error) => void = () => undefined;
     const leading = new Promise<void>((resolve) => (leads = resolve));
@@ -63,7 +69,7 @@
         store,
         transport: new Silence(),
         stateMachine: sum,
-        timings,
+        timings: taskTimings,
         random: new RandomSource(1),
         snapshotEveryEntries,
         onChange: ({ commitIndex, role }: ConsensusStatus) => role === Role.Leader && commitIndex > 0 && leads(),
@@ -75,6 +81,19 @@
 };
 
 describe("a consensus task", () => {
+    test("stands for election soon after its start, where no leader shows itself", async () => {
+        // By the ordinary time-out alone this test would end without a leader.
+        const hasty = {
+            electionTimeoutMs: 3_600_000,
+            firstElectionTimeoutMs: 5,
+            heartbeatIntervalMs: 10,
+            quorumCheckMs: 20,
+        };
+        const { task } = await startTask(new MemoryReplicaStore(), new Sum(), 1_000, hasty);
+        await expect(task.propose(5)).resolves.toEqual({ kind: "applied", answer: 5 });
+        await task.dispose();
+    });
+
     test("answers a proposal once it is applied", async () => {
         const { sum, task } = await startTask(new MemoryReplicaStore());
         await expect(task.propose(5)).resolves.toEqual({ kind: "applied", answer: 5 });
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -98,6 +98,7 @@
             stateMachine,
             timings: {
                 electionTimeoutMs,
+                firstElectionTimeoutMs: electionTimeoutMs / HEARTBEATS_PER_ELECTION,
                 heartbeatIntervalMs: electionTimeoutMs / HEARTBEATS_PER_ELECTION,
                 quorumCheckMs: electionTimeoutMs,
             },
