--- a/src/calls/IngressServer.ts
+++ b/src/calls/IngressServer.ts
@@ -113,6 +113,11 @@
         this.refusing = true;
     }
 
+    /** Takes no new connections; those that are open are still served. */
+    public stopListening(): void {
+        this.server.close();
+    }
+
     public dispose(): void {
         this.server.close();
         this.server.closeAllConnections();
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -9,7 +9,6 @@
 import { EventLog } from "../core/EventLog";
 import { hashNumber } from "../core/hashNumber";
 import { HybridClock } from "../core/HybridClock";
-import { openLogOutput } from "../core/openLogOutput";
 import { RandomSource } from "../core/RandomSource";
 import { SystemClock } from "../core/SystemClock";
 import { membershipChanges } from "../membership/membershipChanges";
@@ -50,10 +49,16 @@
     learners: [],
 });
 
-/** Wires a control replica of a deployment and starts it. `onFatal` is called when its disk can't be trusted. */
+/**
+ * Wires a control replica of a deployment and starts it.
+ * @param output where its log lines go
+ * @param onDiskFailure is called when the disk refused a write: the replica must be stopped, and started anew from
+ * what the disk holds
+ */
 export const createDeploymentControl = async (
     settings: DeploymentControlSettings,
-    onFatal: (error: Error) => void,
+    output: ConstructorParameters<typeof EventLog>[2],
+    onDiskFailure: (error: Error) => void,
 ): Promise<DeploymentControl> => {
     const { dataFolder, electionTimeoutMs, isFirstStart, peerAddress, secret, zone } = settings;
     let { seeds } = settings;
@@ -62,7 +67,6 @@
     const resources = new DisposableStore();
     const clock = new SystemClock();
     const hybridClock = new HybridClock(clock);
-    const output = openLogOutput();
     const log = new EventLog(settings.id, hybridClock, output);
     const random = new RandomSource(hashNumber(`${replicaId}/${process.hrtime.bigint()}`));
     const localHost = peerAddressOf(peerAddress).host;
@@ -107,8 +111,7 @@
             onChange,
             onFailure: (error) => {
                 log.error("disk-failed", { reason: error.message });
-                output.close();
-                onFatal(error);
+                onDiskFailure(error);
             },
         }),
     );
@@ -164,12 +167,11 @@
         log.info("control-stopped", { members: membershipChanges.present(membership.present).length });
         membership.leave();
         await resources.dispose();
-        output.close();
     };
     const followSeeds = (next: readonly string[]): void => {
         seeds = next;
         membership.followSeeds(next.map(peerAddressOf));
         group.follow(controlAddresses(membership.present, next));
     };
-    return { administration, log, followSeeds, stop, dispose: stop };
+    return { administration, log, followSeeds, stop, dispose: () => resources.dispose() };
 };
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -301,6 +301,8 @@
             }
             await pause(STOP_CHECK_MS);
         }
+        ingress.stopListening();
+        await pause(STOP_CHECK_MS);
         membership.leave();
         log.info("node-stopped", { unfinished: active(), tookMs: Math.round(clock.monotonicMs() - startedMs) });
         await resources.dispose();
