--- a/src/consensus/ConsensusTask.ts
+++ b/src/consensus/ConsensusTask.ts
@@ -21,6 +21,9 @@
 
 const PROPOSAL_TIMEOUT_MS = 5_000;
 
+/** See `ConsensusTimings.firstElectionTimeoutMs`. */
+const FIRST_ELECTION_SPREAD = 4;
+
 /** What a consensus task is built from. */
 type ConsensusOptions = {
     readonly id: string;
@@ -55,6 +58,7 @@
     private electionTimer: NodeJS.Timeout | undefined;
     private nextRequest = 0;
     private failed = false;
+    private heardLeader = false;
     private lastStatus = "";
 
     public constructor(private readonly options: ConsensusOptions) {
@@ -70,7 +74,7 @@
         this.state = initialState({ id, ...stored });
         this.appliedIndex = this.state.commitIndex;
         this.options.transport.follow(logQueries.membershipOf(this.state.log));
-        this.resetElectionTimer(timings.firstElectionTimeoutMs);
+        this.resetElectionTimer();
         this.resources.every(timings.heartbeatIntervalMs, () => this.mailbox.post({ kind: "heartbeat-timeout" }));
         this.resources.every(timings.quorumCheckMs, () => this.mailbox.post({ kind: "quorum-check-timeout" }));
         this.resources.add({ dispose: () => clearTimeout(this.electionTimer) });
@@ -258,14 +262,23 @@
         }
     }
 
-    private resetElectionTimer(timeoutMs = this.options.timings.electionTimeoutMs): void {
+    private resetElectionTimer(): void {
         clearTimeout(this.electionTimer);
-        const delayMs = timeoutMs * (1 + this.options.random.fraction());
+        const delayMs = this.electionDelayMs();
         this.electionTimer = setTimeout(() => {
             this.mailbox.post({ kind: "election-timeout" });
         }, delayMs);
     }
 
+    private electionDelayMs(): number {
+        const { random, timings } = this.options;
+        const { electionTimeoutMs, firstElectionTimeoutMs } = timings;
+        this.heardLeader ||= this.state?.leaderId !== undefined;
+        return this.heardLeader || firstElectionTimeoutMs === undefined
+            ? electionTimeoutMs * (1 + random.fraction())
+            : firstElectionTimeoutMs * (1 + FIRST_ELECTION_SPREAD * random.fraction());
+    }
+
     /** Tells the owner when the role, the term or the applied position changed. */
     private publish(): void {
         const status = this.status();
