--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -121,7 +121,8 @@
         const deadlineMs = arrivedMs + order.remainingMs;
         const targetAtMs = arrivedMs + order.targetRemainingMs;
         const { priority, route } = order;
-        const admission = slotQueue.offer(this.queue, { key, route, priority, targetAtMs, deadlineMs }, arrivedMs);
+        const waiting = { key, route, priority, arrivedMs, targetAtMs, deadlineMs };
+        const admission = slotQueue.offer(this.queue, waiting, arrivedMs);
         this.queue = admission.state;
         if (admission.kind === "refuse") {
             return { kind: "not-run", reason: "no-room", retryAfterMs: admission.retryAfterMs };
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -5,6 +5,7 @@
     readonly route: string;
     /** 0 is the most urgent. */
     readonly priority: number;
+    readonly arrivedMs: number;
     /** Answers after this are late. */
     readonly targetAtMs: number;
     readonly deadlineMs: number;
@@ -43,8 +44,8 @@
 /** Work varies: a request counts as able to be on time if this many times its usual service time is left. */
 const ON_TIME_MARGIN = 1.5;
 
-/** A request that will be late waits at most this many service times; its caller does better to come back. */
-const LATE_WAIT_SHARE = 1;
+/** A request that will be late waits at most this many service times in all; its caller does better to come back. */
+const LATE_WAIT_SHARE = 2;
 
 /** Callers come back no sooner than this: one round trip between hosts and some work. */
 const MINIMUM_RETRY_AFTER_MS = 20;
@@ -73,7 +74,8 @@
     if (nowMs + waitMs + serviceMsOf(state, call) > call.deadlineMs) {
         return false;
     }
-    return canBeOnTime(state, call, nowMs) || waitMs <= state.serviceMs * LATE_WAIT_SHARE;
+    const wholeWaitMs = nowMs - call.arrivedMs + waitMs;
+    return canBeOnTime(state, call, nowMs) || wholeWaitMs <= state.serviceMs * LATE_WAIT_SHARE;
 };
 
 /**
