--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -75,6 +75,13 @@
         expect(pick(across, views, [], 300)).toBe("far");
     });
 
+    test("leaves the own zone before its slots are full", () => {
+        const across = [choice("near", { slots: 12 }), choice("far", { zone: "b", slots: 12 })];
+        const views = (outstanding: number) => ({ near: view({ outstanding }) });
+        expect(pick(across, views(6), [], 1_000, 1_000)).toBe("near");
+        expect(pick(across, views(10), [], 1_000, 1_000)).toBe("far");
+    });
+
     test("crosses zones more readily for few bytes", () => {
         const across = [choice("slow"), choice("far", { zone: "b" })];
         const views = { slow: view({ serviceMs: 180 }), far: view({ serviceMs: 100 }) };
--- a/src/calls/pickBackend.ts
+++ b/src/calls/pickBackend.ts
@@ -45,8 +45,13 @@
 /** Assumed while nothing has been heard of a backend server. */
 const DEFAULT_SERVICE_MS = 50;
 
-/** Many backend servers slow down as they fill: this much of the service time at full slots. */
-const FULLNESS_SHARE = 0.3;
+/**
+ * What is known of others' load is old by the time it is used, so a nearly full backend server costs more than the
+ * wait that is expected there: this many service times at full slots, by the fourth power of the part that is taken.
+ */
+const CROWDING_SHARE = 1.5;
+const CROWDING_POWER = 4;
+const CROWDING_LIMIT = 1.5;
 
 /** A failure costs the caller about this much: the attempt, and another one elsewhere. */
 const FAILURE_PENALTY_MS = 1_000;
@@ -83,10 +88,11 @@
     const serviceMs = (view.serviceMs ?? DEFAULT_SERVICE_MS) * (nowMs < choice.warmAtMs ? COLD_FACTOR : 1);
     const load = view.outstanding + view.others * fade;
     const waitMs = (serviceMs * Math.max(0, load + 1 - choice.slots)) / choice.slots;
-    const fullnessMs = serviceMs * FULLNESS_SHARE * Math.min(1, load / choice.slots);
+    const crowding = Math.min(CROWDING_LIMIT, (load + 1) / choice.slots);
+    const crowdingMs = serviceMs * CROWDING_SHARE * crowding ** CROWDING_POWER;
     const failureMs = view.failureShare * fade * FAILURE_PENALTY_MS;
     const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS + (usualBytes / 1_024) * ZONE_PENALTY_MS_PER_KILOBYTE;
-    return waitingCostMs(serviceMs + waitMs + fullnessMs, targetRemainingMs) + failureMs + zoneMs;
+    return waitingCostMs(serviceMs + waitMs, targetRemainingMs) + crowdingMs + failureMs + zoneMs;
 };
 
 /** All of the own zone and a random few of the others. */
