Take a member for gone once a later one has its address

Change: the later start at an address displaces the earlier one; 'not-here' holds a backend server back for a while.

--- a/src/calls/BackendViews.ts
+++ b/src/calls/BackendViews.ts
@@ -3,7 +3,7 @@
 import { CallResult } from "./CallResult";
 
 /** The way to the backend server, or the node beside it, does not work. */
-const lostReasons: ReadonlySet<string> = new Set(["unreachable", "broken", "silent"]);
+const lostReasons: ReadonlySet<string> = new Set(["unreachable", "broken", "silent", "not-here"]);
 
 const unknownView: BackendView = {
     outstanding: 0,
--- a/src/membership/__tests__/membership.test.ts
+++ b/src/membership/__tests__/membership.test.ts
@@ -28,6 +28,17 @@
 const statusOf = (state: MembershipState, id: string): MemberStatus | undefined => state.members.get(id)?.record.status;
 
 describe("the members", () => {
+    test("lose one whose address a later one has taken, whichever is heard of first", () => {
+        const earlier = record("old", { peerAddress: "10.3.0.20:1" });
+        const later = record("new", { peerAddress: "10.3.0.20:1", incarnation: 5 });
+        for (const state of [merge(create(), earlier, later), merge(create(), later, earlier)]) {
+            expect(statusOf(state, "old")).toBe(MemberStatus.Dead);
+            expect(statusOf(state, "new")).toBe(MemberStatus.Alive);
+        }
+        const own = create("new", { peerAddress: "10.3.0.20:1", incarnation: 5 });
+        expect(statusOf(merge(own, earlier), "old")).toBe(MemberStatus.Dead);
+    });
+
     test("do not bring back one that has left, whatever late news says", () => {
         const left = merge(create(), record("x", { sequence: 4, status: MemberStatus.Left }));
         const later = merge(
--- a/src/membership/membershipChanges.ts
+++ b/src/membership/membershipChanges.ts
@@ -62,6 +62,26 @@
     return { ...present, incarnation, sequence };
 };
 
+/**
+ * Members whose address a later one has taken: they are gone, though links to the address open. Machines are replaced
+ * at the same address under another name.
+ */
+const displaced = (state: MembershipState, news: ReadonlyMap<string, MemberRecord>): readonly MemberRecord[] => {
+    const merged = new Map([...state.members].map(([id, { record }]) => [id, record]));
+    news.forEach((record, id) => merged.set(id, record));
+    const living = [...merged.values()].filter(({ status }) => status < MemberStatus.Dead);
+    const newest = new Map<string, MemberRecord>();
+    for (const record of living) {
+        const other = newest.get(record.peerAddress);
+        if (!other || record.incarnation > other.incarnation) {
+            newest.set(record.peerAddress, record);
+        }
+    }
+    return living
+        .filter(({ id, peerAddress }) => newest.get(peerAddress)?.id !== id && id !== state.ownId)
+        .map((record) => ({ ...record, status: MemberStatus.Dead }));
+};
+
 /** Takes in records heard from others and returns those that were news. */
 const merge = (state: MembershipState, records: readonly MemberRecord[], nowMs: number): Result => {
     const news = new Map<string, MemberRecord>();
@@ -81,6 +101,7 @@
     if (news.size === 0) {
         return { state, news: [] };
     }
+    displaced(state, news).forEach((record) => news.set(record.id, record));
     return { state: replace(state, [...news.values()], [], nowMs), news: [...news.values()] };
 };
 
