--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -167,8 +167,12 @@
         targetAtMs,
         deadlineMs,
     });
-    const filled = (slots: number) => {
+    /** All slots are busy, and requests are known to take 50 ms. */
+    const filled = (slots: number, known = 5) => {
         let state = slotQueue.create(slots);
+        for (let sample = 0; sample < known; sample += 1) {
+            state = slotQueue.release(state, "tiles", 50, 0).state;
+        }
         for (let key = 0; key < slots; key += 1) {
             state = slotQueue.offer(state, call(key, 1_000), 0).state;
         }
@@ -226,6 +230,13 @@
         expect(slotQueue.advance(state, 70).expired).toEqual([9]);
     });
 
+    test("keep a request waiting while nothing is known of how long requests take", () => {
+        const state = slotQueue.offer(filled(1, 0), call(9, 2_000, 1, 60), 0).state;
+        const progress = slotQueue.release(state, "tiles", 300, 300);
+        expect(progress.started).toEqual([9]);
+        expect(progress.state.serviceMs).toBe(300);
+    });
+
     test("learn how long the requests of a route take", () => {
         let state = filled(1);
         for (let sample = 0; sample < 60; sample += 1) {
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -18,6 +18,8 @@
     readonly waiting: readonly WaitingCall[];
     /** Moving average of how long a request holds a slot. */
     readonly serviceMs: number;
+    /** Requests that the moving average rests on. */
+    readonly samples: number;
     /** The same for each route that was seen. */
     readonly routeServiceMs: ReadonlyMap<string, number>;
 };
@@ -38,9 +40,12 @@
 /** Assumed until requests have ended: a middling request of an ordinary service. */
 const INITIAL_SERVICE_MS = 50;
 
-/** Weight of a new sample in the moving averages: about the last 20 requests count. */
+/** Weight of a new sample in the moving averages once there are some: about the last 20 requests count. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
+/** Below this the moving average says little. */
+const MINIMUM_SAMPLES = 5;
+
 /** Work varies: a request counts as able to be on time if this many times its usual service time is left. */
 const ON_TIME_MARGIN = 1.5;
 
@@ -55,6 +60,7 @@
     active: 0,
     waiting: [],
     serviceMs: INITIAL_SERVICE_MS,
+    samples: 0,
     routeServiceMs: new Map(),
 });
 
@@ -74,6 +80,10 @@
     if (nowMs + waitMs + serviceMsOf(state, call) > call.deadlineMs) {
         return false;
     }
+    // Nothing is known yet of how long requests take here, so only the deadline counts.
+    if (state.samples < MINIMUM_SAMPLES) {
+        return true;
+    }
     const wholeWaitMs = nowMs - call.arrivedMs + waitMs;
     return canBeOnTime(state, call, nowMs) || wholeWaitMs <= state.serviceMs * LATE_WAIT_SHARE;
 };
@@ -143,7 +153,10 @@
     }
     const ofRoute = averaged(state.routeServiceMs.get(route), serviceMs);
     const routeServiceMs = new Map(state.routeServiceMs).set(route, ofRoute);
-    return advance({ ...left, routeServiceMs, serviceMs: averaged(state.serviceMs, serviceMs) }, nowMs);
+    const samples = state.samples + 1;
+    const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / samples);
+    const average = state.serviceMs + weight * (serviceMs - state.serviceMs);
+    return advance({ ...left, routeServiceMs, samples, serviceMs: average }, nowMs);
 };
 
 /** A waiting request is withdrawn, for example because its caller has left. */
