--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -39,6 +39,12 @@
 /** Weight of a new outcome in the failure share: about the last 15 requests count. */
 const FAILURE_WEIGHT = 0.07;
 
+/** Lowest status that says that the backend server failed. */
+const SERVER_ERROR = 500;
+
+/** Reasons that speak against the backend server itself. */
+const tellingReasons: ReadonlySet<string> = new Set(["shed", "unreachable", "broken", "timed-out", "unsigned"]);
+
 const cancelled: CallResult = { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
 const expired: CallResult = { kind: "not-run", reason: "expired", retryAfterMs: 0 };
 const notHere: CallResult = { kind: "not-run", reason: "not-here", retryAfterMs: 0 };
@@ -186,13 +192,10 @@
     }
 
     private noteOutcome(result: CallResult): void {
-        const isCancelled = result.kind !== "answered" && result.reason === "cancelled";
-        const says = !isCancelled
-            && !(result.kind === "not-run" && result.reason !== "shed" && result.reason !== "unreachable");
-        if (!says) {
+        if (result.kind !== "answered" && !tellingReasons.has(result.reason)) {
             return;
         }
-        const failed = result.kind !== "answered" || result.answer.status >= 500;
+        const failed = result.kind !== "answered" || result.answer.status >= SERVER_ERROR;
         this.failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - this.failureShare);
     }
 
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -1,9 +1,11 @@
+import { sampleConfiguration } from "../../configuration/__tests__/sampleConfiguration";
 import { RandomSource } from "../../core/RandomSource";
 import { ServiceMove } from "../../deployment/ServiceMove";
 import { ServiceMoveState } from "../../deployment/ServiceMoveState";
 import { BackendChoice } from "../BackendChoice";
 import { BackendView } from "../BackendView";
 import { CallerPatience } from "../CallerPatience";
+import { chooseService } from "../chooseService";
 import { chooseVersions } from "../chooseVersions";
 import { localInstances } from "../localInstances";
 import { pickBackend } from "../pickBackend";
@@ -128,6 +130,28 @@
     });
 });
 
+describe("the service that a request goes to", () => {
+    const weighted = (weights: readonly number[]) => ({
+        ...sampleConfiguration(1).routes[0],
+        destinations: weights.map((weight, index) => ({ service: `s${index}`, weight })),
+    });
+
+    test("follows the weights of its route", () => {
+        const random = new RandomSource(1);
+        const counts = new Map<string, number>();
+        for (let request = 0; request < 2_000; request += 1) {
+            const service = chooseService(weighted([90, 0, 10]), random.fraction());
+            counts.set(service, (counts.get(service) ?? 0) + 1);
+        }
+        expect(counts.get("s1")).toBeUndefined();
+        expect((counts.get("s2") ?? 0) / 2_000).toBeCloseTo(0.1, 1);
+    });
+
+    test("is the only one of a route without weights", () => {
+        expect(chooseService(sampleConfiguration(1).routes[0], 0.999)).toBe("canopy-map");
+    });
+});
+
 describe("the version that a request goes to", () => {
     const choices = [choice("old"), choice("new", { version: "v2" })];
     const move = (state: ServiceMoveState, share: number): ServiceMove => ({
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -4,10 +4,9 @@
 import { CallDispatcher } from "../calls/CallDispatcher";
 import { CallReceiver } from "../calls/CallReceiver";
 import { CallTask } from "../calls/CallTask";
+import { chooseService } from "../calls/chooseService";
 import { chooseVersions } from "../calls/chooseVersions";
 import { IngressServer } from "../calls/IngressServer";
-import { LocalInstance } from "../calls/LocalInstance";
-import { localInstances } from "../calls/localInstances";
 import { RouteIndex } from "../configuration/RouteIndex";
 import { Disposable } from "../core/Disposable";
 import { DisposableStore } from "../core/DisposableStore";
@@ -18,7 +17,6 @@
 import { pause } from "../core/pause";
 import { RandomSource } from "../core/RandomSource";
 import { SystemClock } from "../core/SystemClock";
-import { EndpointState } from "../membership/EndpointState";
 import { membershipChanges } from "../membership/membershipChanges";
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
@@ -33,6 +31,7 @@
 import { controlAddresses } from "./controlAddresses";
 import { DeploymentNodeSettings } from "./DeploymentNodeSettings";
 import { LocalBackendAdministration } from "./LocalBackendAdministration";
+import { LocalBackendTask } from "./LocalBackendTask";
 import { moveVersions } from "./moveVersions";
 import { NodeMetrics } from "./NodeMetrics";
 import { ServiceMove } from "./ServiceMove";
@@ -192,12 +191,7 @@
                     configurationVersion: routes.version,
                     maximumBodyBytes: routes.maximumBodyBytes,
                 },
-            chooseService: ({ destinations }) => {
-                const total = destinations.reduce((sum, { weight }) => sum + weight, 0);
-                let left = random.fraction() * total;
-                const chosen = destinations.find(({ weight }) => (left -= weight) < 0);
-                return (chosen ?? destinations[0]).service;
-            },
+            chooseService: (route) => chooseService(route, random.fraction()),
             onRefusal: ({ requestId, ...refusal }) => {
                 metrics.countRequest(refusal.status, refusal.reason, refusal.elapsedMs);
                 log.request("request-refused", { request: requestId, ...refusal });
@@ -229,44 +223,10 @@
     );
     followMembers(membership.present);
 
-    const tellOthers = (): void => {
-        const instance = receiver.present;
-        const leaving = stopping || instance?.leavingSinceMs !== undefined;
-        const endpoints = instance
-            ? [{
-                service: instance.service,
-                backendVersion: instance.version,
-                slots: instance.slots,
-                state: leaving ? EndpointState.Draining : EndpointState.Ready,
-                instanceId: instance.id,
-                coldRemainingMs: Math.max(0, Math.round(instance.warmAtMs - clock.monotonicMs())),
-            }]
-            : [];
-        const present = membershipChanges.own(membership.present).endpoints;
-        const key = (list: typeof present): string =>
-            JSON.stringify(list.map(({ coldRemainingMs: _cold, ...endpoint }) => endpoint));
-        if (key(present) !== key(endpoints)) {
-            membership.changeOwn({ endpoints });
-        }
-    };
-    const takeInstance = (next: LocalInstance | undefined, event: string): void => {
-        const previous = receiver.present;
-        receiver.follow(next);
-        tellOthers();
-        const changed = previous?.id !== next?.id || previous?.leavingSinceMs !== next?.leavingSinceMs;
-        if (next && changed) {
-            const { bornMs, id, sequence, service, slots, version } = next;
-            const leaving = next.leavingSinceMs !== undefined;
-            log.info(event, { instance: id, service, version, slots, bornMs, sequence, leaving });
-        }
-    };
+    const localBackend = new LocalBackendTask({ clock, log, receiver, membership });
     const backend: LocalBackendAdministration = {
-        announce: (heard) => {
-            takeInstance(localInstances.announce(receiver.present, heard, clock.monotonicMs()), "instance-announced");
-        },
-        leave: (id, bornMs) => {
-            takeInstance(localInstances.leave(receiver.present, id, bornMs, clock.monotonicMs()), "instance-leaving");
-        },
+        announce: (heard) => localBackend.announce(heard),
+        leave: (id, bornMs) => localBackend.leave(id, bornMs),
         isReady: () => routes !== undefined && !stopping,
     };
     resources.every(EVIDENCE_INTERVAL_MS, () => {
@@ -288,7 +248,7 @@
         const startedMs = clock.monotonicMs();
         log.info("node-draining", { active: ingress.activeRequests, forBackend: receiver.activeCalls });
         ingress.drain();
-        tellOthers();
+        localBackend.stop();
         const active = (): number => ingress.activeRequests + receiver.activeCalls;
         const limitMs = startedMs + settings.stopGraceMs - STOP_RESERVE_MS;
         while (clock.monotonicMs() < limitMs) {
