--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -6,6 +6,7 @@
 import { CallOrder } from "./CallOrder";
 import { CallResult } from "./CallResult";
 import { CallTask } from "./CallTask";
+import { isServerError } from "./isServerError";
 import { latencyEstimates } from "./latencyEstimates";
 import { pickBackend } from "./pickBackend";
 import { raceWithHedge } from "./raceWithHedge";
@@ -105,6 +106,13 @@
         }
     }
 
+    /** Forgets what was learned of routes that are gone. */
+    public keepOnly(routes: ReadonlySet<string>): void {
+        for (const learned of [this.latencies, this.usualBytes]) {
+            [...learned.keys()].filter((name) => !routes.has(name)).forEach((name) => learned.delete(name));
+        }
+    }
+
     private budgetOf({ service }: DispatchedCall): typeof repeatBudget.empty {
         return this.budgets.get(service) ?? repeatBudget.empty;
     }
@@ -210,8 +218,7 @@
         if (signal.aborted || call.deadlineMs - nowMs < MINIMUM_ATTEMPT_MS) {
             return false;
         }
-        const failed = result.kind === "answered" && result.answer.status >= 500;
-        if (result.kind === "answered" && !failed) {
+        if (result.kind === "answered" && !isServerError(result.answer.status)) {
             return false;
         }
         if (result.kind !== "not-run" && !route.idempotent) {
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -3,6 +3,7 @@
 import { BackendLoad } from "./BackendLoad";
 import { CallOrder } from "./CallOrder";
 import { CallResult } from "./CallResult";
+import { isServerError } from "./isServerError";
 import { LocalInstance } from "./LocalInstance";
 import { slotQueue } from "./slotQueue";
 
@@ -39,9 +40,6 @@
 /** Weight of a new outcome in the failure share: about the last 15 requests count. */
 const FAILURE_WEIGHT = 0.07;
 
-/** Lowest status that says that the backend server failed. */
-const SERVER_ERROR = 500;
-
 /** Reasons that speak against the backend server itself. */
 const tellingReasons: ReadonlySet<string> = new Set(["shed", "unreachable", "broken", "timed-out", "unsigned"]);
 
@@ -195,7 +193,7 @@
         if (result.kind !== "answered" && !tellingReasons.has(result.reason)) {
             return;
         }
-        const failed = result.kind !== "answered" || result.answer.status >= SERVER_ERROR;
+        const failed = result.kind !== "answered" || isServerError(result.answer.status);
         this.failureShare += FAILURE_WEIGHT * ((failed ? 1 : 0) - this.failureShare);
     }
 
--- a/src/calls/raceWithHedge.ts
+++ b/src/calls/raceWithHedge.ts
@@ -1,5 +1,6 @@
 import { linkAbort } from "../proxy/linkAbort";
 import { CallResult } from "./CallResult";
+import { isServerError } from "./isServerError";
 
 type Attempt = (signal: AbortSignal) => Promise<CallResult>;
 
@@ -12,10 +13,7 @@
     readonly signal: AbortSignal;
 };
 
-/** Lowest status that says that the backend server failed. */
-const SERVER_ERROR = 500;
-
-const isGood = (result: CallResult): boolean => result.kind === "answered" && result.answer.status < SERVER_ERROR;
+const isGood = (result: CallResult): boolean => result.kind === "answered" && !isServerError(result.answer.status);
 
 /** Resolves with true once the delay is over, or with false if the attempt ends before. */
 const isOverdue = (attempt: Promise<CallResult>, delayMs: number): Promise<boolean> =>
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -43,6 +43,9 @@
 /** Weight of a new sample in the moving averages once there are some: about the last 20 requests count. */
 const SERVICE_TIME_WEIGHT = 0.05;
 
+/** Routes of one service whose times are remembered. */
+const MAXIMUM_ROUTES = 200;
+
 /** Below this the moving average says little. */
 const MINIMUM_SAMPLES = 5;
 
@@ -140,6 +143,19 @@
 const averaged = (present: number | undefined, sample: number): number =>
     present === undefined ? sample : present + SERVICE_TIME_WEIGHT * (sample - present);
 
+/** Of more routes than are remembered, the one that was learned first is forgotten. */
+const remembered = (
+    present: ReadonlyMap<string, number>,
+    route: string,
+    serviceMs: number,
+): ReadonlyMap<string, number> => {
+    const next = new Map(present).set(route, serviceMs);
+    if (next.size > MAXIMUM_ROUTES) {
+        next.delete([...next.keys()][0]);
+    }
+    return next;
+};
+
 /** A request has left its slot. `serviceMs` is undefined if its time says nothing about the backend server. */
 const release = (
     state: SlotQueueState,
@@ -152,7 +168,7 @@
         return advance(left, nowMs);
     }
     const ofRoute = averaged(state.routeServiceMs.get(route), serviceMs);
-    const routeServiceMs = new Map(state.routeServiceMs).set(route, ofRoute);
+    const routeServiceMs = remembered(state.routeServiceMs, route, ofRoute);
     const samples = state.samples + 1;
     const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / samples);
     const average = state.serviceMs + weight * (serviceMs - state.serviceMs);
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -134,6 +134,7 @@
                 const { limits, version } = next;
                 routes = { index: new RouteIndex(next), version, maximumBodyBytes: limits.maximumBodyBytes };
                 ingress.follow(limits);
+                dispatcher.keepOnly(new Set(next.routes.map(({ name }) => name)));
             },
             onMoves: (next) => {
                 moves = next;
