Let overdue attempts speak against a version; count requests beyond the baseline's usual bound as slow

Change: an attempt given up as overdue counts as timed out, unless its backend server is in slow start; slow is what lies beyond the bound that 95 in 100 of the baseline keep. The tests of false take-backs hold.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -33,6 +33,8 @@
     readonly result: CallResult;
     readonly elapsedMs: number;
     readonly attempt: number;
+    /** Given up because its answer was overdue and another attempt was answered. */
+    readonly overdue: boolean;
 };
 
 /** How an attempt and its hedge ended. */
@@ -191,8 +193,15 @@
         views.end(nodeId, instanceId, result, endedMs);
         this.noteBytes(call, result);
         this.noteLatency(call, result, endedMs - startedMs);
-        const { requestId } = call.order;
-        onAttempt({ requestId, route: call.route.name, choice, result, elapsedMs: endedMs - startedMs, attempt });
+        onAttempt({
+            requestId: call.order.requestId,
+            route: call.route.name,
+            choice,
+            result,
+            elapsedMs: endedMs - startedMs,
+            attempt,
+            overdue: signal.aborted && !call.signal.aborted,
+        });
         return result;
     }
 
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -158,7 +158,7 @@
             windowMs: settings.repeatWindowMs,
             slack: 1,
         },
-        onAttempt: ({ attempt, choice, elapsedMs, requestId, result, route }) => {
+        onAttempt: ({ attempt, choice, elapsedMs, overdue, requestId, result, route }) => {
             metrics.countAttempt(result.kind === "answered" ? "answered" : result.reason);
             if (result.kind !== "answered") {
                 log.request("attempt-failed", {
@@ -173,7 +173,8 @@
                 });
             }
             const move = moves.get(choice.service);
-            const outcome = attemptOutcome(result);
+            const isCold = clock.monotonicMs() - elapsedMs < choice.warmAtMs;
+            const outcome = attemptOutcome({ result, overdue, isCold });
             if (move?.state === ServiceMoveState.Running && outcome) {
                 const version = choice.version === move.targetVersion ? moveVersions.target : moveVersions.others;
                 recorder.record({ service: choice.service, version, route, outcome, elapsedMs });
--- a/src/moves/judging.ts
+++ b/src/moves/judging.ts
@@ -15,7 +15,7 @@
 /** Latency is judged only against a baseline of at least this many requests. */
 const MINIMUM_LATENCY_BASELINE = 50;
 
-/** A request counts as slow beyond twice the bound that all but this share of the baseline keep. */
+/** A request counts as slow beyond the bound that all but this share of the baseline keep. */
 const SLOW_SHARE = 0.05;
 
 /** A single batch of the baseline is small, so its share is taken this many standard deviations higher. */
@@ -53,7 +53,7 @@
         above -= count;
         return above <= requests * SLOW_SHARE;
     });
-    return usual + 2;
+    return usual + 1;
 };
 
 const harmOf = (evidence: Evidence, firstSlowBucket: number | undefined): Harm => ({
