--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -81,11 +81,6 @@
         this.resources.add({ dispose: () => this.retired.forEach(({ link }) => link.dispose()) });
     }
 
-    /** Opens the link to a node ahead of the first request. */
-    public prepare(address: string): void {
-        this.linkTo(address);
-    }
-
     /** Makes one attempt at a request, at the given node. It never tries again by itself. */
     public async send(
         nodeId: string,
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -184,4 +184,4 @@
 const resize = (state: SlotQueueState, slots: number): SlotQueueState => ({ ...state, slots });
 
 /** Admission to the slots of a backend server: what can be on time first, and only what can end at all. */
-export const slotQueue = { create, offer, advance, release, withdraw, resize, expectedWaitMs } as const;
+export const slotQueue = { create, offer, advance, release, withdraw, resize } as const;
