Let one piece of code serve where the change wrote a second

- openPeerProcess opens clock, log, random numbers and network for all four programs; addressOf stood six times.
- readBody serves callers and the platform's calls; hopByHopHeaders and readHeader serve both call paths; findHeader replaces two loops over raw headers.
- Removed: subscriberCount and the slots in BackendLoad, which nothing read; ranked() partitions in one pass.

--- a/src/bin/filbertdeal-load.ts
+++ b/src/bin/filbertdeal-load.ts
@@ -6,7 +6,7 @@
 import { StandInBackend } from "../load/StandInBackend";
 import { onStopSignal } from "../process/onStopSignal";
 import { runProgram } from "../process/runProgram";
-import { parseAddress } from "../transport/parseAddress";
+import { addressOf } from "../transport/addressOf";
 
 const DRAIN_MS = 2_000;
 
@@ -26,7 +26,7 @@
         service: flags.service,
         backendVersion: flags.backendVersion,
         slots: Number(flags.slots),
-        listen: parseAddress(flags.listen) ?? { host: "127.0.0.1", port: 0 },
+        listen: addressOf(flags.listen),
         hostAddress: flags.host,
         latencyMs: Number(flags.latencyMs),
         coldLatencyMs: Number(flags.coldLatencyMs),
--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -6,6 +6,7 @@
 import { CallOrder } from "./CallOrder";
 import { CallResult } from "./CallResult";
 import { connectionHeaders } from "./connectionHeaders";
+import { findHeader } from "./findHeader";
 import { HeaderNames } from "./HeaderNames";
 
 const headerLines = (headers: readonly string[]): string => {
@@ -16,8 +17,7 @@
     return lines;
 };
 
-const hasHeader = (headers: readonly string[], name: string): boolean =>
-    headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === name);
+const hasHeader = (headers: readonly string[], name: string): boolean => findHeader(headers, name) !== undefined;
 
 /** Sends requests to the backend server of this host over kept connections. */
 export class BackendClient implements Disposable {
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -1,6 +1,7 @@
 import { HTTPParser } from "http-parser-js";
 import { Socket } from "node:net";
 import { CallAnswer } from "./CallAnswer";
+import { findHeader } from "./findHeader";
 
 /** A request as it goes on the wire, and how its answer is recognized. */
 type WireRequest = {
@@ -38,15 +39,6 @@
 
 const MAXIMUM_ANSWER_BYTES = 16_777_216;
 
-const headerValue = (headers: readonly string[], name: string): string | undefined => {
-    for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index].toLowerCase() === name) {
-            return headers[index + 1];
-        }
-    }
-    return undefined;
-};
-
 /** One connection to a backend server. It carries one request at a time. */
 export class BackendConnection {
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
@@ -154,21 +146,21 @@
         const { headers, shouldKeepAlive, statusCode, statusMessage } = info;
         // An answer that begins while no request is under way belongs to none.
         const isUnasked = !this.pending;
-        const isFramedTwice = headerValue(headers, "transfer-encoding") !== undefined
-            && headerValue(headers, "content-length") !== undefined;
+        const isFramedTwice = findHeader(headers, "transfer-encoding") !== undefined
+            && findHeader(headers, "content-length") !== undefined;
         if (isUnasked || isFramedTwice) {
             this.close();
             return 1;
         }
         const interim = statusCode < 200;
-        const named = headerValue(headers, this.requestIdHeader);
+        const named = findHeader(headers, this.requestIdHeader);
         const skipped = interim || (named !== undefined && named !== this.pending?.request.requestId);
         this.head = { status: statusCode, reason: statusMessage, headers, skipped };
         this.chunks = [];
         this.bodyBytes = 0;
         if (!interim) {
             this.reusable = shouldKeepAlive;
-            this.noteIdleTimeout(headerValue(headers, "keep-alive"));
+            this.noteIdleTimeout(findHeader(headers, "keep-alive"));
         }
         const bodiless = this.pending?.request.method === "HEAD" && !skipped;
         return bodiless ? 1 : 0;
--- a/src/calls/BackendLoad.ts
+++ b/src/calls/BackendLoad.ts
@@ -5,7 +5,6 @@
     readonly total: number;
     /** How many of these came from the node that is told. */
     readonly yours: number;
-    readonly slots: number;
     /** Moving average of how long a request runs. */
     readonly serviceMs: number;
     /** Moving average of the share of requests that failed, 0 to 1. */
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -105,7 +105,6 @@
             instanceId: instance.id,
             total: this.held,
             yours: this.countByNode.get(node) ?? 0,
-            slots: instance.slots,
             serviceMs: this.queue.serviceMs,
             failureShare: this.failureShare,
         };
--- a/src/calls/IngressServer.ts
+++ b/src/calls/IngressServer.ts
@@ -2,7 +2,9 @@
 import { MeshRoute } from "../configuration/MeshRoute";
 import { Clock } from "../core/Clock";
 import { Disposable } from "../core/Disposable";
+import { readHeader } from "../proxy/readHeader";
 import { listenHttp } from "../transport/listenHttp";
+import { readBody } from "../transport/readBody";
 import { SocketAddress } from "../transport/SocketAddress";
 import { CallAnswer } from "./CallAnswer";
 import { CallDispatcher } from "./CallDispatcher";
@@ -60,12 +62,10 @@
 /** Callers of a service that has no room come back after at least this time. */
 const MINIMUM_RETRY_AFTER_MS = 50;
 
-const notRunStatus: Refusal = { status: 503, reason: "not-run" };
-
 const refusalOf = (result: Exclude<CallResult, { readonly kind: "answered"; }>): Refusal => {
     if (result.kind === "not-run") {
         const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, result.retryAfterMs);
-        return { ...notRunStatus, reason: result.reason, retryAfterMs };
+        return { status: 503, reason: result.reason, retryAfterMs };
     }
     return { status: result.reason === "timed-out" ? 504 : 502, reason: result.reason };
 };
@@ -145,7 +145,8 @@
     private async handle(request: IncomingMessage, response: ServerResponse, arrivedMs: number): Promise<void> {
         const { findRoute } = this.options;
         const found = findRoute(request.headers.host ?? "", request.url ?? "/");
-        const body = await this.readBody(request, found?.maximumBodyBytes ?? MAXIMUM_HELD_BYTES);
+        const limit = Math.min(found?.maximumBodyBytes ?? MAXIMUM_HELD_BYTES, MAXIMUM_HELD_BYTES);
+        const body = await readBody(request, limit);
         const refuse = (refusal: Refusal, remainingMs = 0): void => {
             this.note(request, found?.route, found?.configurationVersion ?? 0, refusal, arrivedMs, remainingMs);
             this.sendRefusal(request, response, refusal);
@@ -178,7 +179,7 @@
         refuse: (refusal: Refusal, remainingMs: number) => void,
     ): Promise<void> {
         const { callerService, chooseService, clock, dispatcher, names, onServed } = this.options;
-        const stated = Number(this.header(request, names.deadlineMs));
+        const stated = Number(readHeader(request.headers, names.deadlineMs));
         const remainingMs = stated > 0 ? stated : route.timeoutMs;
         const deadlineMs = arrivedMs + Math.min(route.timeoutMs, remainingMs);
         const firstSentMs = arrivedMs - this.patience.elapsedMs(route.name, remainingMs);
@@ -193,7 +194,7 @@
             route,
             service,
             order: {
-                requestId: this.header(request, names.requestId) ?? "",
+                requestId: readHeader(request.headers, names.requestId) ?? "",
                 route: route.name,
                 service,
                 callerService,
@@ -215,25 +216,6 @@
         refuse(refusalOf(result), deadlineMs - clock.monotonicMs());
     }
 
-    private header({ headers }: IncomingMessage, name: string): string | undefined {
-        const value = headers[name];
-        return Array.isArray(value) ? value[0] : value;
-    }
-
-    /** Returns undefined if the body is too large; the rest of it is read and dropped. */
-    private async readBody(request: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
-        const limit = Math.min(maximumBytes, MAXIMUM_HELD_BYTES);
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        for await (const chunk of request) {
-            bytes += (chunk as Buffer).length;
-            if (bytes <= limit) {
-                chunks.push(chunk as Buffer);
-            }
-        }
-        return bytes <= limit ? Buffer.concat(chunks) : undefined;
-    }
-
     private sendAnswer(request: IncomingMessage, response: ServerResponse, answer: CallAnswer): void {
         const { body, headers, reason, status } = answer;
         const isBodiless = request.method === "HEAD" || status === 204 || status === 304;
@@ -245,7 +227,7 @@
 
     private sendRefusal(request: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
         const { reason, retryAfterMs, status } = refusal;
-        const requestId = this.header(request, this.options.names.requestId);
+        const requestId = readHeader(request.headers, this.options.names.requestId);
         if (requestId !== undefined) {
             response.setHeader(this.options.names.requestId, requestId);
         }
@@ -268,7 +250,7 @@
         remainingMs: number,
     ): void {
         this.options.onRefusal({
-            requestId: this.header(request, this.options.names.requestId) ?? "",
+            requestId: readHeader(request.headers, this.options.names.requestId) ?? "",
             route: route?.name,
             configurationVersion,
             status,
--- a/src/calls/connectionHeaders.ts
+++ b/src/calls/connectionHeaders.ts
@@ -1,17 +1,7 @@
-/** Headers that concern one connection only. */
-const hopByHop: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-]);
+import { hopByHopHeaders } from "../proxy/hopByHopHeaders";
+
+/** The length is stated anew, since bodies are forwarded whole. */
+const isDropped = (name: string): boolean => hopByHopHeaders.has(name) || name === "content-length";
 
 const namedByConnection = (headers: readonly string[]): ReadonlySet<string> => {
     const named = new Set<string>();
@@ -33,12 +23,12 @@
     const kept: string[] = [];
     for (let index = 0; index < headers.length; index += 2) {
         const name = headers[index].toLowerCase();
-        if (!hopByHop.has(name) && !named.has(name) && !also.has(name)) {
+        if (!isDropped(name) && !named.has(name) && !also.has(name)) {
             kept.push(headers[index], headers[index + 1]);
         }
     }
     return kept;
 };
 
-/** Which headers stay behind when a message is forwarded. The length is stated anew. */
+/** Which headers stay behind when a message is forwarded. */
 export const connectionHeaders = { remove } as const;
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -97,8 +97,9 @@
  * more time left.
  */
 const ranked = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
-    const onTime = calls.filter((call) => canBeOnTime(state, call, nowMs));
-    const late = calls.filter((call) => !onTime.includes(call));
+    const onTime: WaitingCall[] = [];
+    const late: WaitingCall[] = [];
+    calls.forEach((call) => (canBeOnTime(state, call, nowMs) ? onTime : late).push(call));
     onTime.sort((left, right) => left.priority - right.priority || left.targetAtMs - right.targetAtMs);
     late.sort((left, right) => left.priority - right.priority || right.deadlineMs - left.deadlineMs);
     return [...onTime, ...late];
--- a/src/consensus/FileReplicaStore.ts
+++ b/src/consensus/FileReplicaStore.ts
@@ -1,6 +1,7 @@
-import { FileHandle, mkdir, open, readFile, rename } from "node:fs/promises";
+import { FileHandle, mkdir, open } from "node:fs/promises";
 import { join } from "node:path";
 import { die } from "../core/die";
+import { durableFiles } from "../core/durableFiles";
 import { ErrorKind } from "../core/ErrorKind";
 import { FilbertdealError } from "../core/FilbertdealError";
 import { LogEntry } from "./LogEntry";
@@ -25,8 +26,6 @@
     readonly validBytes: number;
 };
 
-const isMissing = (error: unknown): boolean => (error as NodeJS.ErrnoException).code === "ENOENT";
-
 /**
  * Keeps a replica's state in two files of one folder: an append-only log of checksummed records and
  * the newest snapshot. Files are replaced by writing a new one, syncing it and renaming it.
@@ -98,7 +97,7 @@
     }
 
     private async readSnapshot(): Promise<SnapshotRecord | undefined> {
-        const bytes = await this.readIfPresent(SNAPSHOT_FILE);
+        const bytes = await durableFiles.readIfPresent(this.path(SNAPSHOT_FILE));
         if (!bytes) {
             return undefined;
         }
@@ -110,7 +109,7 @@
     }
 
     private async readLog(): Promise<RecoveredLog> {
-        const bytes = (await this.readIfPresent(LOG_FILE)) ?? Buffer.alloc(0);
+        const bytes = (await durableFiles.readIfPresent(this.path(LOG_FILE))) ?? Buffer.alloc(0);
         let recovered: RecoveredLog = { term: 0, votedFor: undefined, entries: [], validBytes: 0 };
         for (;;) {
             const outcome = recordFormat.read(bytes, recovered.validBytes);
@@ -160,43 +159,11 @@
         // Drops a torn tail, so that new records do not follow damaged bytes.
         await this.logFile.truncate(validBytes);
         await this.logFile.sync();
-        await this.syncFolder();
-    }
-
-    private async replaceFile(name: string, records: readonly StoreRecord[]): Promise<void> {
-        const temporary = this.path(`${name}.tmp`);
-        const file = await open(temporary, "w");
-        try {
-            await file.writeFile(Buffer.concat(records.map(recordFormat.encode)));
-            await file.sync();
-        }
-        finally {
-            await file.close();
-        }
-        await rename(temporary, this.path(name));
-        await this.syncFolder();
-    }
-
-    private async syncFolder(): Promise<void> {
-        const folder = await open(this.folder, "r");
-        try {
-            await folder.sync();
-        }
-        finally {
-            await folder.close();
-        }
+        await durableFiles.syncFolder(this.folder);
     }
 
-    private async readIfPresent(name: string): Promise<Buffer | undefined> {
-        try {
-            return await readFile(this.path(name));
-        }
-        catch (error) {
-            if (isMissing(error)) {
-                return undefined;
-            }
-            throw error;
-        }
+    private replaceFile(name: string, records: readonly StoreRecord[]): Promise<void> {
+        return durableFiles.replace(this.path(name), Buffer.concat(records.map(recordFormat.encode)));
     }
 
     private async guard<Result>(work: () => Promise<Result>): Promise<Result> {
--- a/src/control/createControl.ts
+++ b/src/control/createControl.ts
@@ -8,11 +8,6 @@
 import { Membership } from "../consensus/Membership";
 import { Role } from "../consensus/Role";
 import { Disposable } from "../core/Disposable";
-import { DisposableStore } from "../core/DisposableStore";
-import { EventLog } from "../core/EventLog";
-import { HybridClock } from "../core/HybridClock";
-import { RandomSource } from "../core/RandomSource";
-import { SystemClock } from "../core/SystemClock";
 import { ParentTask } from "../distribution/ParentTask";
 import { reporting } from "../distribution/reporting";
 import { ReportTask } from "../distribution/ReportTask";
@@ -20,8 +15,8 @@
 import { MetricsTask } from "../metrics/MetricsTask";
 import { judging } from "../moves/judging";
 import { MoveTask } from "../moves/MoveTask";
-import { parseAddress } from "../transport/parseAddress";
-import { PeerNetwork } from "../transport/PeerNetwork";
+import { openPeerProcess } from "../process/openPeerProcess";
+import { addressOf } from "../transport/addressOf";
 import { SocketAddress } from "../transport/SocketAddress";
 import { AdminServer } from "./AdminServer";
 import { AdminService } from "./AdminService";
@@ -47,22 +42,16 @@
     return join ? { voters: [], learners: [] } : { voters, learners: [] };
 };
 
-const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
-
 /** Wires a control replica and starts it. `onFatal` is called when its disk can't be trusted any more. */
 export const createControl = async (
     settings: ControlSettings,
     onFatal: (error: Error) => void,
 ): Promise<Control> => {
-    const resources = new DisposableStore();
-    const clock = new SystemClock();
-    const hybridClock = new HybridClock(clock);
-    const log = new EventLog(settings.id, hybridClock);
-    const random = new RandomSource(settings.seed);
-    const { host } = addressOf(settings.peerAddress);
-    const network = resources.add(
-        new PeerNetwork({ identity: settings.id, secret: settings.secret, localHost: host, hybridClock, random }),
-    );
+    const { clock, log, network, random, resources } = openPeerProcess({
+        ...settings,
+        name: settings.id,
+        identity: settings.id,
+    });
 
     const isLeader = (): boolean => consensus.status().role === Role.Leader;
     const leaderLink = resources.add(new LeaderReportTask(network, () => reports.startOver()));
--- a/src/deployment/ConfigurationPublisher.ts
+++ b/src/deployment/ConfigurationPublisher.ts
@@ -32,10 +32,6 @@
         });
     }
 
-    public get subscriberCount(): number {
-        return this.subscribers.size;
-    }
-
     /** Takes in a state that is committed. */
     public publish(state: DeploymentState): void {
         const { configuration } = state;
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -5,18 +5,13 @@
 import { Role } from "../consensus/Role";
 import { PeerReplicaTransport } from "../control/PeerReplicaTransport";
 import { Disposable } from "../core/Disposable";
-import { DisposableStore } from "../core/DisposableStore";
 import { EventLog } from "../core/EventLog";
-import { hashNumber } from "../core/hashNumber";
-import { HybridClock } from "../core/HybridClock";
-import { RandomSource } from "../core/RandomSource";
-import { SystemClock } from "../core/SystemClock";
 import { membershipChanges } from "../membership/membershipChanges";
 import { MembershipTask } from "../membership/MembershipTask";
 import { MemberStatus } from "../membership/MemberStatus";
-import { parseAddress } from "../transport/parseAddress";
-import { PeerNetwork } from "../transport/PeerNetwork";
-import { SocketAddress } from "../transport/SocketAddress";
+import { openPeerProcess } from "../process/openPeerProcess";
+import { unrepeatedSeed } from "../process/unrepeatedSeed";
+import { addressOf } from "../transport/addressOf";
 import { ConfigurationPublisher } from "./ConfigurationPublisher";
 import { controlAddresses } from "./controlAddresses";
 import { DeploymentAdministration } from "./DeploymentAdministration";
@@ -41,8 +36,6 @@
 /** Parts of the election time-out: a follower misses several heartbeats before it stands for election. */
 const HEARTBEATS_PER_ELECTION = 5;
 
-const peerAddressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
-
 /** A replica that joined later learns the membership from the group. */
 const firstMembership = (founders: readonly string[]): Membership => ({
     voters: founders.map((address) => ({ id: address, address })),
@@ -64,13 +57,14 @@
     let { seeds } = settings;
     const identity = await readReplicaIdentity(dataFolder, peerAddress, isFirstStart ? seeds : []);
     const { founders, id: replicaId } = identity;
-    const resources = new DisposableStore();
-    const clock = new SystemClock();
-    const hybridClock = new HybridClock(clock);
-    const log = new EventLog(settings.id, hybridClock, output);
-    const random = new RandomSource(hashNumber(`${replicaId}/${process.hrtime.bigint()}`));
-    const localHost = peerAddressOf(peerAddress).host;
-    const network = resources.add(new PeerNetwork({ identity: replicaId, secret, localHost, hybridClock, random }));
+    const { clock, log, network, random, resources } = openPeerProcess({
+        name: settings.id,
+        identity: replicaId,
+        secret,
+        peerAddress,
+        seed: unrepeatedSeed(replicaId),
+        output,
+    });
 
     const publisher = new ConfigurationPublisher(network, (evidence) => moves.observe(evidence));
     const stateMachine = new DeploymentStateMachine((state) => {
@@ -129,7 +123,7 @@
         }),
     );
     await consensus.start();
-    await network.listen(peerAddressOf(peerAddress));
+    await network.listen(addressOf(peerAddress));
     const membership = resources.add(
         new MembershipTask({
             own: {
@@ -144,7 +138,7 @@
                 endpoints: [],
             },
             network,
-            seeds: seeds.map(peerAddressOf),
+            seeds: seeds.map(addressOf),
             clock,
             log,
             ownFloor: () => stateMachine.state.revision,
@@ -170,7 +164,7 @@
     };
     const followSeeds = (next: readonly string[]): void => {
         seeds = next;
-        membership.followSeeds(next.map(peerAddressOf));
+        membership.followSeeds(next.map(addressOf));
         group.follow(controlAddresses(membership.present, next));
     };
     return { administration, log, followSeeds, stop, dispose: () => resources.dispose() };
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -9,23 +9,18 @@
 import { IngressServer } from "../calls/IngressServer";
 import { RouteIndex } from "../configuration/RouteIndex";
 import { Disposable } from "../core/Disposable";
-import { DisposableStore } from "../core/DisposableStore";
 import { EventLog } from "../core/EventLog";
-import { hashNumber } from "../core/hashNumber";
-import { HybridClock } from "../core/HybridClock";
 import { openLogOutput } from "../core/openLogOutput";
 import { pause } from "../core/pause";
-import { RandomSource } from "../core/RandomSource";
-import { SystemClock } from "../core/SystemClock";
 import { membershipChanges } from "../membership/membershipChanges";
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
 import { MemberStatus } from "../membership/MemberStatus";
 import { MetricsServer } from "../metrics/MetricsServer";
+import { openPeerProcess } from "../process/openPeerProcess";
+import { unrepeatedSeed } from "../process/unrepeatedSeed";
 import { EvidenceRecorder } from "../proxy/EvidenceRecorder";
-import { parseAddress } from "../transport/parseAddress";
-import { PeerNetwork } from "../transport/PeerNetwork";
-import { SocketAddress } from "../transport/SocketAddress";
+import { addressOf } from "../transport/addressOf";
 import { attemptOutcome } from "./attemptOutcome";
 import { ConfigurationSubscriber } from "./ConfigurationSubscriber";
 import { controlAddresses } from "./controlAddresses";
@@ -65,22 +60,19 @@
 const STOP_RESERVE_MS = 400;
 const STOP_CHECK_MS = 50;
 
-const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
-
 /** Wires a node of a deployment and starts it. */
 export const createDeploymentNode = async (settings: DeploymentNodeSettings): Promise<DeploymentNode> => {
     const { headerNames, peerAddress, secret, service: ownService, zone } = settings;
     let { seeds } = settings;
-    const resources = new DisposableStore();
-    const clock = new SystemClock();
-    const hybridClock = new HybridClock(clock);
     const output = openLogOutput();
-    const log = new EventLog(settings.id, hybridClock, output);
-    const random = new RandomSource(hashNumber(`${settings.id}/${process.hrtime.bigint()}`));
-    const localHost = addressOf(peerAddress).host;
-    const network = resources.add(
-        new PeerNetwork({ identity: settings.id, secret, localHost, hybridClock, random }),
-    );
+    const { clock, localHost, log, network, random, resources } = openPeerProcess({
+        name: settings.id,
+        identity: settings.id,
+        secret,
+        peerAddress,
+        seed: unrepeatedSeed(settings.id),
+        output,
+    });
 
     // The route index, the moves and the choices are replaced whole; a request reads each once.
     let routes:
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -1,12 +1,7 @@
 import { Disposable } from "../core/Disposable";
-import { DisposableStore } from "../core/DisposableStore";
-import { EventLog } from "../core/EventLog";
 import { hashFraction } from "../core/hashFraction";
-import { HybridClock } from "../core/HybridClock";
 import { onceForEach } from "../core/onceForEach";
 import { pause } from "../core/pause";
-import { RandomSource } from "../core/RandomSource";
-import { SystemClock } from "../core/SystemClock";
 import { ChildTask } from "../distribution/ChildTask";
 import { chooseParents } from "../distribution/chooseParents";
 import { ParentTask } from "../distribution/ParentTask";
@@ -18,6 +13,7 @@
 import { MembershipTask } from "../membership/MembershipTask";
 import { MemberStatus } from "../membership/MemberStatus";
 import { MetricsTask } from "../metrics/MetricsTask";
+import { openPeerProcess } from "../process/openPeerProcess";
 import { buildEndpointIndex } from "../proxy/buildEndpointIndex";
 import { buildRoutingTable } from "../proxy/buildRoutingTable";
 import { CallerServer } from "../proxy/CallerServer";
@@ -31,8 +27,7 @@
 import { localBackends } from "../proxy/localBackends";
 import { RoutingTable } from "../proxy/RoutingTable";
 import { UpstreamClient } from "../proxy/UpstreamClient";
-import { parseAddress } from "../transport/parseAddress";
-import { PeerNetwork } from "../transport/PeerNetwork";
+import { addressOf } from "../transport/addressOf";
 import { SocketAddress } from "../transport/SocketAddress";
 import { FloorGate } from "./FloorGate";
 import { HostServer } from "./HostServer";
@@ -61,20 +56,15 @@
     readonly host: SocketAddress;
 };
 
-const addressOf = (text: string): SocketAddress => parseAddress(text) ?? { host: "127.0.0.1", port: 0 };
 const addressText = ({ host, port }: SocketAddress): string => `${host}:${port}`;
 const splitList = (text: string): readonly string[] => text.split(",").filter(Boolean);
 /** Wires a node and starts it. `onDrain` is called when an operator drains the host. */
 export const createNode = async (settings: NodeSettings, onDrain: () => void): Promise<Node> => {
-    const resources = new DisposableStore();
-    const clock = new SystemClock();
-    const hybridClock = new HybridClock(clock);
-    const log = new EventLog(settings.id, hybridClock);
-    const random = new RandomSource(settings.seed);
-    const localHost = addressOf(settings.peerAddress).host;
-    const network = resources.add(
-        new PeerNetwork({ identity: settings.id, secret: settings.secret, localHost, hybridClock, random }),
-    );
+    const { clock, localHost, log, network, random, resources } = openPeerProcess({
+        ...settings,
+        name: settings.id,
+        identity: settings.id,
+    });
     const upstream = resources.add(new UpstreamClient(localHost));
 
     let backends: ReadonlyMap<string, LocalBackend> = new Map();
