Judge a version by all of its routes together and let none pass its trial under suspicion

Cause: evidence of a version that answers a third of its requests too late was spread over two routes and three signals (errors, slowness, cancellations), and the allowed share was the baseline's share in one batch plus two standard deviations, which for 20 requests at 6 % is 17 %. Change: sums over all routes beside those of each route, a signal for all harm together, a medium shift, the share of the moment drawn towards the lasting one instead of widened, and no step beyond the trial at a strength of 4 or more.

--- a/src/deployment/__tests__/decideServiceMove.test.ts
+++ b/src/deployment/__tests__/decideServiceMove.test.ts
@@ -33,6 +33,17 @@
         });
     });
 
+    test("does not pass its trial under a suspicion that has not been cleared", () => {
+        const suspicion = { strength: 4.2, route: "orders", signal: "errors" };
+        expect(decideServiceMove({ ...question, suspicion })).toEqual({ kind: "wait" });
+        expect(decideServiceMove({ ...question, suspicion, remainingMs: 2_000 })).toMatchObject({
+            kind: "end-move",
+            state: ServiceMoveState.TakenBack,
+        });
+        expect(decideServiceMove({ ...question, suspicion: { ...suspicion, strength: 2 }, remainingMs: 2_000 }))
+            .toMatchObject({ kind: "change-share", share: 0.9 });
+    });
+
     test("ends before its deadline although decisions come only every quarter of a second", () => {
         const intervalMs = 250;
         let share = 0.05;
--- a/src/deployment/decideServiceMove.ts
+++ b/src/deployment/decideServiceMove.ts
@@ -1,3 +1,4 @@
+import { judgeThresholds } from "../moves/judgeThresholds";
 import { ServiceMoveState } from "./ServiceMoveState";
 
 /** Where a running move stands, as the leader sees it. */
@@ -27,9 +28,6 @@
 /** Half of the tenth that operators allow a bad version, so that the last step fits into the rest. */
 const TRIAL_SHARE = 0.05;
 
-/** A false alarm at this strength comes about once in e^8 batches. */
-const TAKE_BACK_STRENGTH = 8;
-
 /** Nearly all requests go to the target version then; the rest shows whether a fault is the version's own. */
 const WIDE_SHARE = 0.9;
 
@@ -48,10 +46,13 @@
 
 const wait: MoveDecision = { kind: "wait" };
 
-const decideTrial = ({ remainingMs, targetRequests, watchedMs }: MoveQuestion): MoveDecision => {
+const decideTrial = ({ remainingMs, suspicion, targetRequests, watchedMs }: MoveQuestion): MoveDecision => {
     if (remainingMs > WIDE_STEP_MS) {
         return wait;
     }
+    if (suspicion && suspicion.strength >= judgeThresholds.passTrial) {
+        return takeBack(`${suspicion.signal} on route ${suspicion.route}, not cleared before the deadline`);
+    }
     return targetRequests < MINIMUM_TARGET_REQUESTS || watchedMs < MINIMUM_WATCH_MS
         ? takeBack("too little evidence before the deadline")
         : { kind: "change-share", share: WIDE_SHARE, reason: "trial passed" };
@@ -64,7 +65,7 @@
  */
 export const decideServiceMove = (question: MoveQuestion): MoveDecision => {
     const { atShareMs, share, suspicion } = question;
-    if (suspicion && suspicion.strength >= TAKE_BACK_STRENGTH) {
+    if (suspicion && suspicion.strength >= judgeThresholds.takeBackBeforeDeadline) {
         return takeBack(`${suspicion.signal} on route ${suspicion.route}`);
     }
     if (share === 0) {
--- a/src/moves/JudgeState.ts
+++ b/src/moves/JudgeState.ts
@@ -1,4 +1,6 @@
 import { RouteJudgement } from "./RouteJudgement";
+import { SignalName } from "./SignalName";
+import { SignalSums } from "./SignalSums";
 
 /** The judgement of one move: by route, for the pair of versions that it compares. */
 export type JudgeState = {
@@ -6,4 +8,6 @@
     readonly baselineVersion: number;
     readonly candidateVersion: number;
     readonly routes: ReadonlyMap<string, RouteJudgement>;
+    /** The sums over all routes: a fault of the whole version shows here before it shows on any one of them. */
+    readonly allRoutes: Readonly<Record<SignalName, SignalSums>>;
 };
--- a/src/moves/__tests__/judging.test.ts
+++ b/src/moves/__tests__/judging.test.ts
@@ -40,48 +40,58 @@
     return { service: "map", version, route, requests, errors, refusals: 0, cancellations: 0, latencies };
 };
 
-/** Runs a move and returns the second at which it would be taken back, or undefined. */
-const takenBackAfter = (traffics: readonly Traffic[], seconds: number, seed: number): number | undefined => {
+/** One batch of both versions. */
+const batchesOf = (random: RandomSource, traffic: Traffic, second: number): readonly Evidence[] => {
+    const { baselineLatencyMs = 10, candidateLatencyMs = 10, candidateShare, requestsPerSecond, route = "reads" } =
+        traffic;
+    const perBatch = requestsPerSecond / BATCHES_PER_SECOND;
+    const baseline = round(random, perBatch * (1 - candidateShare));
+    const candidate = round(random, perBatch * candidateShare);
+    const baselineErrors = draw(random, baseline, traffic.baselineErrors(second));
+    const candidateErrors = draw(random, candidate, traffic.candidateErrors(second));
+    return [
+        batchOf(random, 1, baseline, baselineErrors, baselineLatencyMs, route),
+        batchOf(random, 2, candidate, candidateErrors, candidateLatencyMs, route),
+    ];
+};
+
+/** Runs a move; true ends it early. */
+const runMove = (
+    traffics: readonly Traffic[],
+    seconds: number,
+    seed: number,
+    isOver: (strength: number, second: number) => boolean,
+): void => {
     const random = new RandomSource(seed);
     let judge: JudgeState = judging.start("map", 1, 2);
     for (let batch = 0; batch < seconds * BATCHES_PER_SECOND; batch += 1) {
         const second = batch / BATCHES_PER_SECOND;
-        const evidence = traffics.flatMap((traffic) => {
-            const {
-                baselineLatencyMs = 10,
-                candidateLatencyMs = 10,
-                candidateShare,
-                requestsPerSecond,
-                route = "reads",
-            } = traffic;
-            const perBatch = requestsPerSecond / BATCHES_PER_SECOND;
-            const baseline = round(random, perBatch * (1 - candidateShare));
-            const candidate = round(random, perBatch * candidateShare);
-            return [
-                batchOf(
-                    random,
-                    1,
-                    baseline,
-                    draw(random, baseline, traffic.baselineErrors(second)),
-                    baselineLatencyMs,
-                    route,
-                ),
-                batchOf(
-                    random,
-                    2,
-                    candidate,
-                    draw(random, candidate, traffic.candidateErrors(second)),
-                    candidateLatencyMs,
-                    route,
-                ),
-            ];
-        });
+        const evidence = traffics.flatMap((traffic) => batchesOf(random, traffic, second));
         judge = judging.observe(judge, evidence.filter(({ requests }) => requests > 0));
-        if ((judging.suspicion(judge)?.strength ?? 0) >= judgeThresholds.takeBack) {
-            return second;
+        if (isOver(judging.suspicion(judge)?.strength ?? 0, second)) {
+            return;
         }
     }
-    return undefined;
+};
+
+/** The second at which a move would be taken back, or undefined. */
+const takenBackAfter = (traffics: readonly Traffic[], seconds: number, seed: number): number | undefined => {
+    let takenBack: number | undefined;
+    runMove(traffics, seconds, seed, (strength, second) => {
+        takenBack = strength >= judgeThresholds.takeBack ? second : undefined;
+        return takenBack !== undefined;
+    });
+    return takenBack;
+};
+
+/** Whether a move with a deadline passes its trial. */
+const passesTrial = (traffics: readonly Traffic[], seconds: number, seed: number): boolean => {
+    let last = 0;
+    runMove(traffics, seconds, seed, (strength) => {
+        last = strength;
+        return strength >= judgeThresholds.takeBackBeforeDeadline;
+    });
+    return last < judgeThresholds.passTrial;
 };
 
 const always = (share: number) => (): number => share;
@@ -93,6 +103,27 @@
     candidateErrors: always(0.002),
 };
 
+/** A version that answers a third of its requests far too late, on the two routes of a busy service. */
+const partlySlow: readonly Traffic[] = [
+    {
+        requestsPerSecond: 200,
+        candidateShare: 0.035,
+        baselineErrors: always(0.06),
+        candidateErrors: always(0.27),
+        baselineLatencyMs: 150,
+        candidateLatencyMs: 160,
+    },
+    {
+        requestsPerSecond: 80,
+        candidateShare: 0.035,
+        baselineErrors: always(0.01),
+        candidateErrors: always(0.1),
+        baselineLatencyMs: 200,
+        candidateLatencyMs: 330,
+        route: "orders",
+    },
+];
+
 const seeds = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => 1_000 + index);
 
 describe("the judgement of a version", () => {
@@ -129,4 +160,18 @@
         const late = seeds(100).filter((seed) => (takenBackAfter(traffics, 60, seed) ?? 60) > withinSeconds);
         expect(late).toEqual([]);
     });
+
+    test("lets no version pass a trial of 13 s that answers a third of its requests too late", () => {
+        expect(seeds(100).filter((seed) => passesTrial(partlySlow, 13, seed))).toEqual([]);
+    });
+
+    test("lets 98 of 100 healthy versions pass a trial of 13 s beside a baseline that fails as often", () => {
+        const healthy = partlySlow.map((traffic) => ({
+            ...traffic,
+            candidateErrors: traffic.baselineErrors,
+            candidateLatencyMs: traffic.baselineLatencyMs,
+        }));
+        const wrong = seeds(200).filter((seed) => !passesTrial(healthy, 13, seed));
+        expect(wrong.length).toBeLessThanOrEqual(4);
+    });
 });
--- a/src/moves/judging.ts
+++ b/src/moves/judging.ts
@@ -4,6 +4,7 @@
 import { RouteJudgement } from "./RouteJudgement";
 import { SignalName } from "./SignalName";
 import { signals } from "./signals";
+import { SignalSums } from "./SignalSums";
 
 /** The baseline's counts lose half their weight over this many of its requests. */
 const BASELINE_HALF_LIFE_REQUESTS = 1_000;
@@ -18,26 +19,38 @@
 /** A request counts as slow beyond the bound that all but this share of the baseline keep. */
 const SLOW_SHARE = 0.05;
 
-/** A single batch of the baseline is small, so its share is taken this many standard deviations higher. */
-const CONCURRENT_DEVIATIONS = 2;
+/** The baseline's counts of the moment keep this share of their weight from batch to batch. */
+const RECENT_FADE = 0.7;
 
-/** Shifts of the share of harmed requests that the two sums are tuned to. */
+/** The counts of a moment are few, so their share is drawn towards the lasting one as if by this many requests. */
+const MOMENT_PRIOR_REQUESTS = 20;
+
+/** Shifts of the share of harmed requests that the sums are tuned to. */
 const SMALL_SHIFT = 0.08;
+const MEDIUM_SHIFT = 0.2;
 const LARGE_SHIFT = 0.45;
 const MAXIMUM_SHARE = 0.97;
 
+/** What suspicion is said to rest on when no single route shows it as well as all of them together. */
+const ALL_ROUTES = "(all)";
+
 /** Harm counts of a batch of requests. */
 type Harm = Readonly<Record<SignalName, number>>;
 
-const noHarm: Harm = { errors: 0, slowness: 0, refusals: 0, cancellations: 0 };
-const noSums = { small: 0, large: 0 } as const;
+type Sums = Readonly<Record<SignalName, SignalSums>>;
+
+const noHarm: Harm = { errors: 0, slowness: 0, refusals: 0, cancellations: 0, harm: 0 };
+const noSum: SignalSums = { small: 0, medium: 0, large: 0 };
+const noSums: Sums = { errors: noSum, slowness: noSum, refusals: noSum, cancellations: noSum, harm: noSum };
 
 const emptyRoute: RouteJudgement = {
     baselineRequests: 0,
     baselineHarm: noHarm,
     baselineLatencies: latencyBucketsMs.map(() => 0),
+    recentRequests: 0,
+    recentHarm: noHarm,
     candidateRequests: 0,
-    sums: { errors: noSums, slowness: noSums, refusals: noSums, cancellations: noSums },
+    sums: noSums,
 };
 
 const total = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
@@ -56,11 +69,18 @@
     return usual + 1;
 };
 
-const harmOf = (evidence: Evidence, firstSlowBucket: number | undefined): Harm => ({
-    errors: evidence.errors,
-    refusals: evidence.refusals,
-    cancellations: evidence.cancellations,
-    slowness: firstSlowBucket === undefined ? 0 : total(evidence.latencies.slice(firstSlowBucket)),
+const harmOf = (evidence: Evidence, firstSlowBucket: number | undefined): Harm => {
+    const { cancellations, errors, latencies, refusals } = evidence;
+    const slowness = firstSlowBucket === undefined ? 0 : total(latencies.slice(firstSlowBucket));
+    return { errors, refusals, cancellations, slowness, harm: errors + slowness + cancellations };
+};
+
+const mapHarm = (combine: (name: SignalName) => number): Harm => ({
+    errors: combine("errors"),
+    slowness: combine("slowness"),
+    refusals: combine("refusals"),
+    cancellations: combine("cancellations"),
+    harm: combine("harm"),
 });
 
 /** Adds a batch of the baseline; older counts fade by the number of requests that came after them. */
@@ -68,17 +88,13 @@
     const fade = 0.5 ** (evidence.requests / BASELINE_HALF_LIFE_REQUESTS);
     const baselineLatencies = route.baselineLatencies.map((count, bucket) => count * fade + evidence.latencies[bucket]);
     const harm = harmOf(evidence, slowBucket(baselineLatencies));
-    const faded = (name: SignalName): number => route.baselineHarm[name] * fade + harm[name];
     return {
         ...route,
         baselineRequests: route.baselineRequests * fade + evidence.requests,
         baselineLatencies,
-        baselineHarm: {
-            errors: faded("errors"),
-            slowness: faded("slowness"),
-            refusals: faded("refusals"),
-            cancellations: faded("cancellations"),
-        },
+        baselineHarm: mapHarm((name) => route.baselineHarm[name] * fade + harm[name]),
+        recentRequests: route.recentRequests * RECENT_FADE + evidence.requests,
+        recentHarm: mapHarm((name) => route.recentHarm[name] * RECENT_FADE + harm[name]),
     };
 };
 
@@ -101,10 +117,14 @@
     name: SignalName,
     slack: number,
 ): number => {
-    const lasting = upperShare(route.baselineHarm[name] + PRIOR_HARM, route.baselineRequests + PRIOR_REQUESTS, 1);
+    const { baselineHarm, baselineRequests, recentHarm, recentRequests } = route;
+    const lasting = upperShare(baselineHarm[name] + PRIOR_HARM, baselineRequests + PRIOR_REQUESTS, 1);
+    const ofMoment = (harmed: number, requests: number): number =>
+        (harmed + lasting * MOMENT_PRIOR_REQUESTS) / (requests + MOMENT_PRIOR_REQUESTS);
     // What the baseline suffers in the same moment counts at once, so that a shared fault is not blamed on the candidate.
-    const concurrent = batch ? upperShare(batch.harm[name], batch.requests, CONCURRENT_DEVIATIONS) : 0;
-    return Math.min(MAXIMUM_SHARE - 0.01, Math.max(lasting, concurrent) + slack);
+    const recent = ofMoment(recentHarm[name], recentRequests);
+    const concurrent = batch ? ofMoment(batch.harm[name], batch.requests) : 0;
+    return Math.min(MAXIMUM_SHARE - 0.01, Math.max(lasting, recent, concurrent) + slack);
 };
 
 const increase = (harmed: number, requests: number, allowed: number, shift: number): number => {
@@ -112,28 +132,53 @@
     return harmed * Math.log(shifted / allowed) + (requests - harmed) * Math.log((1 - shifted) / (1 - allowed));
 };
 
-const judgeBatch = (route: RouteJudgement, candidate: Evidence, baseline: Evidence | undefined): RouteJudgement => {
+/** What one batch on one route adds to the sums. */
+const batchIncreases = (route: RouteJudgement, candidate: Evidence, baseline: Evidence | undefined): Sums => {
     const firstSlowBucket = slowBucket(route.baselineLatencies);
     const harm = harmOf(candidate, firstSlowBucket);
     const batch = baseline && { requests: baseline.requests, harm: harmOf(baseline, firstSlowBucket) };
-    const sums = { ...route.sums };
+    const increases = { ...noSums };
     for (const { name, slack } of signals) {
         const allowed = allowedShare(route, batch, name, slack);
         const harmed = Math.min(harm[name], candidate.requests);
-        const { large, small } = route.sums[name];
-        sums[name] = {
-            small: Math.max(0, small + increase(harmed, candidate.requests, allowed, SMALL_SHIFT)),
-            large: Math.max(0, large + increase(harmed, candidate.requests, allowed, LARGE_SHIFT)),
+        increases[name] = {
+            small: increase(harmed, candidate.requests, allowed, SMALL_SHIFT),
+            medium: increase(harmed, candidate.requests, allowed, MEDIUM_SHIFT),
+            large: increase(harmed, candidate.requests, allowed, LARGE_SHIFT),
         };
     }
-    return { ...route, sums, candidateRequests: route.candidateRequests + candidate.requests };
+    return increases;
 };
 
+const mapSums = (combine: (name: SignalName) => SignalSums): Sums => ({
+    errors: combine("errors"),
+    slowness: combine("slowness"),
+    refusals: combine("refusals"),
+    cancellations: combine("cancellations"),
+    harm: combine("harm"),
+});
+
+const addSums = (left: Sums, right: Sums): Sums =>
+    mapSums((name) => ({
+        small: left[name].small + right[name].small,
+        medium: left[name].medium + right[name].medium,
+        large: left[name].large + right[name].large,
+    }));
+
+/** Cumulative sums start again at 0 once the candidate has done better than allowed. */
+const notBelowZero = (sums: Sums): Sums =>
+    mapSums((name) => ({
+        small: Math.max(0, sums[name].small),
+        medium: Math.max(0, sums[name].medium),
+        large: Math.max(0, sums[name].large),
+    }));
+
 const start = (service: string, baselineVersion: number, candidateVersion: number): JudgeState => ({
     service,
     baselineVersion,
     candidateVersion,
     routes: new Map(),
+    allRoutes: noSums,
 });
 
 /** Takes in a batch of evidence. Evidence on other services or versions is passed over. */
@@ -141,15 +186,26 @@
     const mine = batch.filter(({ service }) => service === state.service);
     const names = new Set(mine.map(({ route }) => route));
     const routes = new Map(state.routes);
+    let { allRoutes } = state;
     for (const name of names) {
         const onRoute = mine.filter(({ route }) => route === name);
         const baseline = onRoute.find(({ version }) => version === state.baselineVersion);
         const candidate = onRoute.find(({ version }) => version === state.candidateVersion);
         const present = routes.get(name) ?? emptyRoute;
         const withBaseline = baseline ? addBaseline(present, baseline) : present;
-        routes.set(name, candidate ? judgeBatch(withBaseline, candidate, baseline) : withBaseline);
+        if (!candidate) {
+            routes.set(name, withBaseline);
+            continue;
+        }
+        const increases = batchIncreases(withBaseline, candidate, baseline);
+        allRoutes = addSums(allRoutes, increases);
+        routes.set(name, {
+            ...withBaseline,
+            sums: notBelowZero(addSums(withBaseline.sums, increases)),
+            candidateRequests: withBaseline.candidateRequests + candidate.requests,
+        });
     }
-    return { ...state, routes };
+    return { ...state, routes, allRoutes: notBelowZero(allRoutes) };
 };
 
 /** The strongest sum against the candidate. */
@@ -161,9 +217,10 @@
 
 const suspicion = (state: JudgeState): Suspicion | undefined => {
     let strongest: Suspicion | undefined;
-    for (const [route, { sums }] of state.routes) {
+    const judged = [...state.routes].map(([route, { sums }]) => ({ route, sums }));
+    for (const { route, sums } of [...judged, { route: ALL_ROUTES, sums: state.allRoutes }]) {
         for (const { name } of signals) {
-            const strength = Math.max(sums[name].small, sums[name].large);
+            const strength = Math.max(sums[name].small, sums[name].medium, sums[name].large);
             if (strength > (strongest?.strength ?? 0)) {
                 strongest = { route, signal: name, strength };
             }
--- a/src/moves/signals.ts
+++ b/src/moves/signals.ts
@@ -4,4 +4,6 @@
     { name: "slowness", slack: 0.02 },
     { name: "refusals", slack: 0.05 },
     { name: "cancellations", slack: 0.02 },
+    // Errors, slowness and cancellations together: a slow version shows as all three when deadlines are near.
+    { name: "harm", slack: 0.03 },
 ] as const;
