--- a/src/catalogue/CatalogueEntry.ts
+++ b/src/catalogue/CatalogueEntry.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { entrySchema } from "./entrySchema";
 import { ServiceContent } from "./ServiceContent";
 
--- a/src/catalogue/ServiceContent.ts
+++ b/src/catalogue/ServiceContent.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { contentSchema } from "./contentSchema";
 
 type DeepReadonly<Value> = Value extends object ? { readonly [Key in keyof Value]: DeepReadonly<Value[Key]>; } : Value;
--- a/src/catalogue/contentSchema.ts
+++ b/src/catalogue/contentSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { catalogueLimits } from "./catalogueLimits";
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be lower-case letters, digits and dashes, at most 63");
--- a/src/catalogue/entrySchema.ts
+++ b/src/catalogue/entrySchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { catalogueLimits } from "./catalogueLimits";
 import { contentSchema } from "./contentSchema";
 import { ServiceClass } from "./ServiceClass";
--- a/src/catalogue/parseEntry.ts
+++ b/src/catalogue/parseEntry.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { die } from "../core/die";
 import { ErrorKind } from "../core/ErrorKind";
 import { CatalogueEntry } from "./CatalogueEntry";
--- a/src/control/ControlSettings.ts
+++ b/src/control/ControlSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { controlSettingsSchema } from "./controlSettingsSchema";
 
 /** The checked settings of a control replica. */
--- a/src/core/parseSettings.ts
+++ b/src/core/parseSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { die } from "./die";
 import { ErrorKind } from "./ErrorKind";
 
--- a/src/node/HostServer.ts
+++ b/src/node/HostServer.ts
@@ -1,5 +1,5 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { Disposable } from "../core/Disposable";
 import { listenHttp } from "../transport/listenHttp";
 import { proofsEqual } from "../transport/proofsEqual";
--- a/src/node/NodeSettings.ts
+++ b/src/node/NodeSettings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { nodeSettingsSchema } from "./nodeSettingsSchema";
 
 /** The checked settings of a node. */
--- a/src/node/announcementSchema.ts
+++ b/src/node/announcementSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { EndpointState } from "../membership/EndpointState";
 import { addressSchema } from "../transport/addressSchema";
 
--- a/src/node/nodeSettingsSchema.ts
+++ b/src/node/nodeSettingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "../transport/addressSchema";
 import { parseAddress } from "../transport/parseAddress";
 
--- a/src/process/readSettings.ts
+++ b/src/process/readSettings.ts
@@ -1,5 +1,5 @@
 import { Command, Option } from "commander";
-import { z } from "zod";
+import * as z from "zod";
 import { parseSettings } from "../core/parseSettings";
 import { SettingOption } from "./SettingOption";
 
--- a/src/transport/addressSchema.ts
+++ b/src/transport/addressSchema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { parseAddress } from "./parseAddress";
 
 /** Checks that a text is an address of the form IP:PORT. */
