--- a/src/emulator/FaultProxy.ts
+++ b/src/emulator/FaultProxy.ts
@@ -9,6 +9,8 @@
     readonly sourceHost: string;
     /** Bytes are swallowed on this connection, for good. */
     silent: boolean;
+    /** When the last delayed bytes are due, by direction, so that later ones do not overtake them. */
+    readonly dueAtMs: Map<Socket, number>;
 };
 
 /** A TCP proxy in front of one listening address that brings about faults. Sources are told apart by their IP numbers. */
@@ -19,6 +21,7 @@
     private denied: (sourceHost: string) => boolean = () => false;
     private frozen = false;
     private delayMs = 0;
+    private holding = false;
 
     public constructor() {
         this.server = createServer((client) => this.accept(client));
@@ -53,6 +56,16 @@
         this.denied = () => false;
         this.frozen = false;
         this.delayMs = 0;
+        if (this.holding) {
+            this.holding = false;
+            this.pairs.forEach(({ client }) => client.resume());
+        }
+    }
+
+    /** Holds what goes towards the target until it heals, also on new connections; what the target sends still arrives. */
+    public holdTowardsTarget(): void {
+        this.holding = true;
+        this.pairs.forEach(({ client }) => client.pause());
     }
 
     /** Makes the connections that are open now silent for good; new ones work. */
@@ -100,10 +113,13 @@
             return;
         }
         const server = connect({ host: this.target.host, port: this.target.port });
-        const pair: Pair = { client, server, sourceHost, silent: this.frozen };
+        const pair: Pair = { client, server, sourceHost, silent: this.frozen, dueAtMs: new Map() };
         this.pairs.add(pair);
         this.carry(pair, client, server);
         this.carry(pair, server, client);
+        if (this.holding) {
+            client.pause();
+        }
     }
 
     private carry(pair: Pair, from: Socket, to: Socket): void {
@@ -117,11 +133,14 @@
         if (pair.silent) {
             return;
         }
-        if (this.delayMs > 0) {
-            setTimeout(() => void to.write(chunk), this.delayMs);
+        const nowMs = performance.now();
+        const dueAtMs = Math.max(nowMs + this.delayMs, pair.dueAtMs.get(to) ?? 0);
+        if (dueAtMs <= nowMs) {
+            to.write(chunk);
             return;
         }
-        to.write(chunk);
+        pair.dueAtMs.set(to, dueAtMs);
+        setTimeout(() => void to.write(chunk), dueAtMs - nowMs);
     }
 
     private close(pair: Pair): void {
