--- a/src/model/ModelState.ts
+++ b/src/model/ModelState.ts
@@ -6,6 +6,8 @@
 /** A state of the whole group, with the history that the invariants need. */
 export type ModelState = {
     readonly nodes: ReadonlyMap<string, ModelNode>;
+    /** Replicas whose disks were lost, as they last were. What they had synced counts as synced. */
+    readonly lost: ReadonlyMap<string, ModelNode>;
     readonly network: readonly ModelMessage[];
     readonly budget: ModelBudget;
     /** Who led in each term. */
--- a/src/model/advanceModel.ts
+++ b/src/model/advanceModel.ts
@@ -109,7 +109,9 @@
                 violation: `two entries are committed at ${index}: terms ${known.term} and ${entry.term}`,
             };
         }
-        const holders = [...model.nodes].filter(([, node]) => holdsDurably(node, index, entry.term)).map(([id]) => id);
+        const holders = [...model.nodes, ...model.lost]
+            .filter(([, node]) => holdsDurably(node, index, entry.term))
+            .map(([id]) => id);
         const membership = logQueries.membershipOf(state.log);
         if (!known && !majorityOfVoters(membership, new Set(holders))) {
             return {
--- a/src/model/createModel.ts
+++ b/src/model/createModel.ts
@@ -1,15 +1,8 @@
-import { initialState } from "../consensus/initialState";
 import { Membership } from "../consensus/Membership";
+import { createModelNode } from "./createModelNode";
 import { ModelBudget } from "./ModelBudget";
-import { ModelNode } from "./ModelNode";
 import { ModelState } from "./ModelState";
 
-const createNode = (id: string, snapshotMembership: Membership): ModelNode => {
-    const log = { snapshotIndex: 0, snapshotTerm: 0, snapshotMembership, entries: [] };
-    const durable = { term: 0, votedFor: undefined, log };
-    return { state: initialState({ id, ...durable }), durable };
-};
-
 /** The first state of a group. */
 export const createModel = (
     voters: readonly string[],
@@ -20,7 +13,8 @@
     const membership: Membership = { voters: replicas(voters), learners: replicas(learners) };
     const ids = [...voters, ...learners];
     return {
-        nodes: new Map(ids.map((id) => [id, createNode(id, membership)])),
+        nodes: new Map(ids.map((id) => [id, createModelNode(id, membership)])),
+        lost: new Map(),
         network: [],
         budget,
         leaders: new Map(),
--- /dev/null
+++ b/src/model/createModelNode.ts
@@ -0,0 +1,10 @@
+import { initialState } from "../consensus/initialState";
+import { Membership } from "../consensus/Membership";
+import { ModelNode } from "./ModelNode";
+
+/** A replica with nothing on its disk but the members that it starts with. */
+export const createModelNode = (id: string, snapshotMembership: Membership): ModelNode => {
+    const log = { snapshotIndex: 0, snapshotTerm: 0, snapshotMembership, entries: [] };
+    const durable = { term: 0, votedFor: undefined, log };
+    return { state: initialState({ id, ...durable }), durable };
+};
