--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -90,18 +90,14 @@
     return wholeWaitMs <= state.serviceMs * Math.max(LATE_WAIT_SHARE, LATE_WAIT_TURNS / state.slots);
 };
 
-/** True if a request that arrives may wait behind `ahead` others. While service times are unknown only the deadline counts. */
-const mayJoin = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean =>
-    canEndInTime(state, call, ahead, nowMs)
-    && (state.samples < MINIMUM_SAMPLES
-        || canBeOnTime(state, call, nowMs + expectedWaitMs(state, ahead))
-        || isShortlyLate(state, call, ahead, nowMs));
-
-/** True if a request that waits may go on waiting: it goes as soon as its wait was in vain, but on no mere estimate. */
-const mayStay = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean =>
+/**
+ * True if a request with `ahead` others in front of it may wait: it can be on time if it starts at `startMs`, or is not
+ * late for long. While service times are unknown only the deadline counts.
+ */
+const mayWait = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number, startMs: number): boolean =>
     canEndInTime(state, call, ahead, nowMs)
     && (state.samples < MINIMUM_SAMPLES
-        || canBeOnTime(state, call, nowMs)
+        || canBeOnTime(state, call, startMs)
         || isShortlyLate(state, call, ahead, nowMs));
 
 /**
@@ -125,8 +121,9 @@
     }
     const waiting = ranked(state, [...state.waiting, call], nowMs);
     const ahead = waiting.indexOf(call);
-    if (!mayJoin(state, call, ahead, nowMs)) {
-        const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, expectedWaitMs(state, ahead));
+    const waitMs = expectedWaitMs(state, ahead);
+    if (!mayWait(state, call, ahead, nowMs, nowMs + waitMs)) {
+        const retryAfterMs = Math.max(MINIMUM_RETRY_AFTER_MS, waitMs);
         return { kind: "refuse", state, retryAfterMs };
     }
     return { kind: "wait", state: { ...state, waiting } };
@@ -140,7 +137,8 @@
     let { active } = state;
     for (const call of ranked(state, state.waiting, nowMs)) {
         const present = { ...state, active };
-        if (!mayStay(present, call, kept.length, nowMs)) {
+        // What waits already goes once its wait was in vain, but on no mere estimate.
+        if (!mayWait(present, call, kept.length, nowMs, nowMs)) {
             expired.push(call.key);
         }
         else if (active < state.slots) {
--- a/src/model/__tests__/groupModel.test.ts
+++ b/src/model/__tests__/groupModel.test.ts
@@ -5,6 +5,7 @@
 import { step } from "../../consensus/step";
 import { nextGroupChange } from "../../deployment/nextGroupChange";
 import { advanceModel } from "../advanceModel";
+import { createModel } from "../createModel";
 import { createModelNode } from "../createModelNode";
 import { emptyBudget } from "../emptyBudget";
 import { enumerateEvents } from "../enumerateEvents";
@@ -42,15 +43,10 @@
 const addressOf = (id: string): string => id.split("#")[0];
 
 /** The group as it first starts: three founders, and a replica that is not one of them. */
-const firstStart = (): ModelState => ({
-    nodes: new Map(hosts.map((id) => [id, createModelNode(id, founders.includes(id) ? firstVoters : nobody)])),
-    lost: new Map(),
-    network: [],
-    budget,
-    leaders: new Map(),
-    committed: new Map(),
-    violation: undefined,
-});
+const firstStart = (): ModelState => {
+    const model = createModel(founders, [], budget);
+    return { ...model, nodes: new Map(model.nodes).set("d", createModelNode("d", nobody)) };
+};
 
 const leaderOf = ({ nodes }: ModelState): string | undefined => {
     const leaders = [...nodes].filter(([, { state }]) => state.role === Role.Leader);
--- a/src/moves/judging.ts
+++ b/src/moves/judging.ts
@@ -42,9 +42,16 @@
 
 type Sums = Readonly<Record<SignalName, SignalSums>>;
 
-const noHarm: Harm = { errors: 0, slowness: 0, refusals: 0, cancellations: 0, harm: 0 };
-const noSum: SignalSums = { small: 0, medium: 0, large: 0 };
-const noSums: Sums = { errors: noSum, slowness: noSum, refusals: noSum, cancellations: noSum, harm: noSum };
+const forEachSignal = <Value>(valueOf: (name: SignalName) => Value): Readonly<Record<SignalName, Value>> => ({
+    errors: valueOf("errors"),
+    slowness: valueOf("slowness"),
+    refusals: valueOf("refusals"),
+    cancellations: valueOf("cancellations"),
+    harm: valueOf("harm"),
+});
+
+const noHarm: Harm = forEachSignal(() => 0);
+const noSums: Sums = forEachSignal(() => ({ small: 0, medium: 0, large: 0 }));
 
 const emptyRoute: RouteJudgement = {
     baselineRequests: 0,
@@ -78,14 +85,6 @@
     return { errors, refusals, cancellations, slowness, harm: errors + slowness + cancellations };
 };
 
-const mapHarm = (combine: (name: SignalName) => number): Harm => ({
-    errors: combine("errors"),
-    slowness: combine("slowness"),
-    refusals: combine("refusals"),
-    cancellations: combine("cancellations"),
-    harm: combine("harm"),
-});
-
 /** Adds a batch of the baseline; older counts fade by the number of requests that came after them. */
 const addBaseline = (route: RouteJudgement, evidence: Evidence): RouteJudgement => {
     const fade = 0.5 ** (evidence.requests / BASELINE_HALF_LIFE_REQUESTS);
@@ -95,9 +94,9 @@
         ...route,
         baselineRequests: route.baselineRequests * fade + evidence.requests,
         baselineLatencies,
-        baselineHarm: mapHarm((name) => route.baselineHarm[name] * fade + harm[name]),
+        baselineHarm: forEachSignal((name) => route.baselineHarm[name] * fade + harm[name]),
         recentRequests: route.recentRequests * RECENT_FADE + evidence.requests,
-        recentHarm: mapHarm((name) => route.recentHarm[name] * RECENT_FADE + harm[name]),
+        recentHarm: forEachSignal((name) => route.recentHarm[name] * RECENT_FADE + harm[name]),
     };
 };
 
@@ -160,16 +159,8 @@
     return increases;
 };
 
-const mapSums = (combine: (name: SignalName) => SignalSums): Sums => ({
-    errors: combine("errors"),
-    slowness: combine("slowness"),
-    refusals: combine("refusals"),
-    cancellations: combine("cancellations"),
-    harm: combine("harm"),
-});
-
 const addSums = (left: Sums, right: Sums): Sums =>
-    mapSums((name) => ({
+    forEachSignal((name) => ({
         small: left[name].small + right[name].small,
         medium: left[name].medium + right[name].medium,
         large: left[name].large + right[name].large,
@@ -177,7 +168,7 @@
 
 /** Cumulative sums start again at 0 once the candidate has done better than allowed. */
 const notBelowZero = (sums: Sums): Sums =>
-    mapSums((name) => ({
+    forEachSignal((name) => ({
         small: Math.max(0, sums[name].small),
         medium: Math.max(0, sums[name].medium),
         large: Math.max(0, sums[name].large),
