Refuse what open connections bring to a node that ends, and wait for it

A node that found itself idle after 2.5 s closed its listening socket, waited 50 ms and closed all connections. A connection that was accepted before could still bring a request in these 50 ms: it was sent to a backend server and cut off, so its caller lost the answer of a request that had run.

Change: the ending is a module of its own, finishCalls: it refuses from the moment it stops listening, and waits for what is under way within the grace.

Conclusion: the race is closed by order, not by a longer wait.

--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -11,7 +11,6 @@
 import { Disposable } from "../core/Disposable";
 import { EventLog } from "../core/EventLog";
 import { openLogOutput } from "../core/openLogOutput";
-import { pause } from "../core/pause";
 import { membershipChanges } from "../membership/membershipChanges";
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
@@ -25,6 +24,7 @@
 import { ConfigurationSubscriber } from "./ConfigurationSubscriber";
 import { controlAddresses } from "./controlAddresses";
 import { DeploymentNodeSettings } from "./DeploymentNodeSettings";
+import { finishCalls } from "./finishCalls";
 import { LocalBackendAdministration } from "./LocalBackendAdministration";
 import { LocalBackendTask } from "./LocalBackendTask";
 import { moveVersions } from "./moveVersions";
@@ -50,16 +50,6 @@
 /** Part of each node in the common budget of repetitions: the sum over nodes stays below the whole. */
 const REPEAT_SHARE = 0.5;
 
-/** After the stop signal, callers of this host keep coming until the platform has noticed: two of its questions. */
-const STOP_NOTICE_MS = 2_500;
-
-/** Part of the grace after which requests are refused: those before have the rest of it to end. */
-const STOP_ACCEPT_SHARE = 0.5;
-
-/** What is still under way this long before the process is killed is given up. */
-const STOP_RESERVE_MS = 400;
-const STOP_CHECK_MS = 50;
-
 /** Wires a node of a deployment and starts it. */
 export const createDeploymentNode = async (settings: DeploymentNodeSettings): Promise<DeploymentNode> => {
     const { headerNames, peerAddress, secret, service: ownService, zone } = settings;
@@ -243,22 +233,17 @@
         log.info("node-draining", { active: ingress.activeRequests, forBackend: receiver.activeCalls });
         ingress.drain();
         localBackend.stop();
-        const active = (): number => ingress.activeRequests + receiver.activeCalls;
-        const limitMs = startedMs + settings.stopGraceMs - STOP_RESERVE_MS;
-        while (clock.monotonicMs() < limitMs) {
-            const noticed = clock.monotonicMs() - startedMs >= STOP_NOTICE_MS;
-            if (noticed && active() === 0) {
-                break;
-            }
-            if (clock.monotonicMs() - startedMs >= settings.stopGraceMs * STOP_ACCEPT_SHARE) {
-                ingress.refuseAll();
-            }
-            await pause(STOP_CHECK_MS);
-        }
-        ingress.stopListening();
-        await pause(STOP_CHECK_MS);
+        const { unfinished } = await finishCalls({
+            clock,
+            graceMs: settings.stopGraceMs,
+            calls: {
+                active: () => ingress.activeRequests + receiver.activeCalls,
+                refuseAll: () => ingress.refuseAll(),
+                stopListening: () => ingress.stopListening(),
+            },
+        });
         membership.leave();
-        log.info("node-stopped", { unfinished: active(), tookMs: Math.round(clock.monotonicMs() - startedMs) });
+        log.info("node-stopped", { unfinished, tookMs: Math.round(clock.monotonicMs() - startedMs) });
         await resources.dispose();
         output.close();
     };
