Let idle links between nodes beat every 20 s, and drop them when their node was started again

Cause: each node holds links to all others, and each end of each link sent an empty frame a second: work of a node that grows with the mesh (n - 1 links out and in).

Change: the opener of a link asks for the pace of its heartbeats (bounded by the acceptor); links for requests ask for 20 s. Links in use are watched by CallTask as before. An idle link whose host lost power would now be found dead late, so CallTask closes idle links when membership tells of another start or of the end of a member.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -48,6 +48,12 @@
 /** Without a sign of life for this long the link counts as silent: far beyond a busy node's usual pause. */
 const SILENT_AFTER_MS = 600;
 
+/**
+ * Pace of heartbeats on links between nodes, in ms. Each node has links to all others, so that each second would cost
+ * a share of the processor that grows with the mesh. Links in use are watched here, and dead members are told of.
+ */
+const HEARTBEAT_MS = 20_000;
+
 /** How long a request waits for a link to open before another node is tried: several round trips within a region. */
 const OPEN_WAIT_MS = 250;
 
@@ -62,6 +68,8 @@
     /** Silent links: what may not be repeated still waits for its result there. */
     private readonly retired = new Set<NodeLink>();
     private readonly served = new Map<object, Map<number, AbortController>>();
+    /** The start of the process at each address. */
+    private incarnations: ReadonlyMap<string, number> = new Map();
     private lastNumber = 0;
 
     public constructor(private readonly options: CallTaskOptions) {
@@ -107,6 +115,23 @@
         return this.exchange(nodeLink, order, mayRepeat, signal);
     }
 
+    /**
+     * Closes idle links to processes that are gone or were started again: nothing would tell of it on a link whose
+     * host lost its power, and the next request would be lost there.
+     * @param incarnations of the members that are present, by their address
+     */
+    public followMembers(incarnations: ReadonlyMap<string, number>): void {
+        const before = this.incarnations;
+        this.incarnations = incarnations;
+        for (const [address, { link, outstanding }] of this.links) {
+            const isSame = before.get(address) === incarnations.get(address);
+            if (!isSame && outstanding.size === 0) {
+                this.links.delete(address);
+                link.dispose();
+            }
+        }
+    }
+
     public dispose(): Promise<void> {
         return this.resources.dispose();
     }
@@ -155,6 +180,7 @@
         }
         const outstanding = new Map<number, Outstanding>();
         const link = this.options.network.open(Channel.Calls, address, {
+            heartbeatMs: HEARTBEAT_MS,
             onMessage: (body) => {
                 opened.heardAtMs = performance.now();
                 opened.askedAtMs = undefined;
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -124,6 +124,33 @@
         expect(await send("r1", true)).toMatchObject({ kind: "answered" });
     });
 
+    test("go over a new link once the node was started again, also if nothing told of its end", async () => {
+        run = () => Promise.resolve(answered);
+        sender.followMembers(new Map([[address, 1]]));
+        expect(await send("r1", false)).toMatchObject({ kind: "answered" });
+        proxy.silenceOpen();
+        sender.followMembers(new Map([[address, 2]]));
+        expect(await send("r2", false)).toMatchObject({ kind: "answered" });
+    });
+
+    test("that run keep their link when the node is told of anew", async () => {
+        let finish: () => void = () => undefined;
+        const arrived = new Promise<void>((resolve) => {
+            run = () => {
+                resolve();
+                return new Promise((settle) => {
+                    finish = () => settle(answered);
+                });
+            };
+        });
+        sender.followMembers(new Map([[address, 1]]));
+        const running = send("r1", false);
+        await arrived;
+        sender.followMembers(new Map([[address, 2]]));
+        finish();
+        expect(await running).toMatchObject({ kind: "answered" });
+    });
+
     test("to a node that is not there have not run", async () => {
         const nobody = await sender.send(
             "nobody",
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -103,7 +103,9 @@
     await network.listen(addressOf(peerAddress));
 
     const followMembers = (state: MembershipState): void => {
-        choices = backendChoices(membershipChanges.present(state), clock.monotonicMs(), choices);
+        const present = membershipChanges.present(state);
+        choices = backendChoices(present, clock.monotonicMs(), choices);
+        calls.followMembers(new Map(present.map(({ incarnation, peerAddress }) => [peerAddress, incarnation])));
         const keys = [...choices.values()].flat().map(({ instanceId, nodeId }) => `${nodeId}/${instanceId}`);
         views.keepOnly(new Set(keys));
         configuration.follow(controlAddresses(state, seeds));
--- a/src/transport/FramedConnection.ts
+++ b/src/transport/FramedConnection.ts
@@ -53,14 +53,17 @@
         this.events = undefined;
     }
 
-    /** Sends empty frames while idle and closes the connection when the peer falls silent. */
-    public keepAlive(): void {
+    /**
+     * Sends empty frames while idle and closes the connection when the peer falls silent. Both ends keep the same pace.
+     * @param intervalMs between two empty frames
+     */
+    public keepAlive(intervalMs: number): void {
         let lastReceivedBytes = this.receivedBytes;
-        let silentMs = 0;
+        let silentIntervals = 0;
         this.heartbeat = setInterval(() => {
-            silentMs = this.receivedBytes === lastReceivedBytes ? silentMs + TransportLimits.HeartbeatIntervalMs : 0;
+            silentIntervals = this.receivedBytes === lastReceivedBytes ? silentIntervals + 1 : 0;
             lastReceivedBytes = this.receivedBytes;
-            if (silentMs >= TransportLimits.SilenceTimeoutMs) {
+            if (silentIntervals >= TransportLimits.SilentIntervals) {
                 this.close();
                 return;
             }
@@ -68,7 +71,7 @@
                 this.socket.write(EMPTY_FRAME);
             }
             this.sentLately = false;
-        }, TransportLimits.HeartbeatIntervalMs);
+        }, intervalMs);
     }
 
     /** Sends a message. Returns the bytes sent, 0 if the connection is closed. */
--- a/src/transport/PeerLink.ts
+++ b/src/transport/PeerLink.ts
@@ -14,6 +14,8 @@
     readonly secret: string;
     readonly localHost?: string;
     readonly random: RandomSource;
+    /** How often the idle link shows that it is alive; `TransportLimits.HeartbeatIntervalMs` if not given. */
+    readonly heartbeatMs?: number;
     readonly onOpen?: () => void;
     readonly onMessage: (message: unknown) => void;
     readonly onBytes?: (count: number) => void;
--- a/src/transport/PeerNetwork.ts
+++ b/src/transport/PeerNetwork.ts
@@ -24,6 +24,8 @@
 
 /** What a task does with a link that it opened. */
 type LinkHandler = {
+    /** For links whose owner watches them while they are in use; otherwise `TransportLimits.HeartbeatIntervalMs`. */
+    readonly heartbeatMs?: number;
     readonly onOpen?: (peerIdentity: string) => void;
     readonly onMessage: (body: unknown) => void;
     readonly onClose?: () => void;
@@ -82,6 +84,7 @@
             secret,
             localHost,
             random,
+            heartbeatMs: handler.heartbeatMs,
             onOpen: () => handler.onOpen?.(link.peerIdentity),
             onMessage: (raw) => {
                 if (isEnvelope(raw)) {
--- a/src/transport/__tests__/transport.test.ts
+++ b/src/transport/__tests__/transport.test.ts
@@ -7,7 +7,9 @@
 import { createSessionCodec } from "../createSessionCodec";
 import { encodeFrame } from "../encodeFrame";
 import { FrameDecoder } from "../FrameDecoder";
+import { heartbeatPace } from "../heartbeatPace";
 import { PeerNetwork } from "../PeerNetwork";
+import { TransportLimits } from "../TransportLimits";
 
 const MAXIMUM_BYTES = 1_000_000;
 
@@ -91,6 +93,14 @@
         await server.dispose();
     });
 
+    test("show that they are alive at the pace that their opener asked for, within bounds", () => {
+        expect(heartbeatPace(20_000)).toBe(20_000);
+        expect(heartbeatPace(3_600_000)).toBe(TransportLimits.MaximumHeartbeatIntervalMs);
+        for (const asked of [0, 999, Number.NaN, undefined as unknown as number]) {
+            expect(heartbeatPace(asked)).toBe(TransportLimits.HeartbeatIntervalMs);
+        }
+    });
+
     test("survive garbage from a stranger", async () => {
         const server = createNetwork("server", "the-right-secret-1");
         const { host, port } = await server.listen({ host: "127.0.0.1", port: 0 });
--- a/src/transport/acceptConnection.ts
+++ b/src/transport/acceptConnection.ts
@@ -3,6 +3,7 @@
 import { FramedConnection } from "./FramedConnection";
 import { HandshakeMessage } from "./HandshakeMessage";
 import { handshakeProof } from "./handshakeProof";
+import { heartbeatPace } from "./heartbeatPace";
 import { proofsEqual } from "./proofsEqual";
 import { TransportLimits } from "./TransportLimits";
 
@@ -21,10 +22,10 @@
         const connection = new FramedConnection(socket);
         const nonce = randomBytes(NONCE_BYTES).toString("hex");
         const timer = setTimeout(() => connection.close(), TransportLimits.HandshakeTimeoutMs);
-        const finish = (result: FramedConnection | undefined): void => {
+        const finish = (result: FramedConnection | undefined, heartbeatMs = 0): void => {
             clearTimeout(timer);
             connection.pause();
-            result?.keepAlive();
+            result?.keepAlive(heartbeatPace(heartbeatMs));
             resolve(result);
         };
         const onResponse = (raw: unknown): void => {
@@ -41,7 +42,7 @@
             }
             connection.peerIdentity = message.identity;
             connection.send({ kind: "accepted", proof: handshakeProof(secret, "server", nonces, identity) });
-            finish(connection);
+            finish(connection, message.heartbeatMs);
         };
         connection.listen({ onMessage: onResponse, onClose: () => finish(undefined) });
         connection.send({ kind: "challenge", nonce, identity } satisfies HandshakeMessage);
--- a/src/transport/openConnection.ts
+++ b/src/transport/openConnection.ts
@@ -3,6 +3,7 @@
 import { FramedConnection } from "./FramedConnection";
 import { HandshakeMessage } from "./HandshakeMessage";
 import { handshakeProof } from "./handshakeProof";
+import { heartbeatPace } from "./heartbeatPace";
 import { proofsEqual } from "./proofsEqual";
 import { SocketAddress } from "./SocketAddress";
 import { TransportLimits } from "./TransportLimits";
@@ -14,6 +15,8 @@
     readonly identity: string;
     readonly secret: string;
     readonly localHost?: string;
+    /** How often the idle connection shows that it is alive; `TransportLimits.HeartbeatIntervalMs` if not given. */
+    readonly heartbeatMs?: number;
 };
 
 /**
@@ -26,18 +29,20 @@
         const connection = new FramedConnection(socket);
         const timer = setTimeout(() => connection.close(), TransportLimits.ConnectTimeoutMs);
         const nonce = randomBytes(NONCE_BYTES).toString("hex");
+        const heartbeatMs = heartbeatPace(opener.heartbeatMs ?? TransportLimits.HeartbeatIntervalMs);
         let nonces: readonly string[] = [];
         const finish = (result: FramedConnection | undefined): void => {
             clearTimeout(timer);
             connection.pause();
-            result?.keepAlive();
+            result?.keepAlive(heartbeatMs);
             resolve(result);
         };
         const answerChallenge = (message: HandshakeMessage & { readonly kind: "challenge"; }): void => {
             nonces = [String(message.nonce), nonce];
             connection.peerIdentity = String(message.identity);
             const proof = handshakeProof(opener.secret, "client", nonces, opener.identity);
-            connection.send({ kind: "response", nonce, identity: opener.identity, proof } satisfies HandshakeMessage);
+            const { identity } = opener;
+            connection.send({ kind: "response", nonce, identity, proof, heartbeatMs } satisfies HandshakeMessage);
         };
         const checkServer = (proof: string): void => {
             if (!proofsEqual(handshakeProof(opener.secret, "server", nonces, connection.peerIdentity), proof)) {
