--- a/src/calls/BackendViews.ts
+++ b/src/calls/BackendViews.ts
@@ -2,6 +2,8 @@
 import { BackendView } from "./BackendView";
 import { CallResult } from "./CallResult";
 
+type BackendKey = { readonly instanceId: string; readonly nodeId: string; };
+
 /** The way to the backend server, or the node beside it, does not work. */
 const lostReasons: ReadonlySet<string> = new Set(["unreachable", "broken", "silent", "not-here"]);
 
@@ -16,10 +18,10 @@
 
 /** Keeps what this node knows of each backend server, by node and instance. */
 export class BackendViews {
-    private readonly views = new Map<string, BackendView>();
+    private readonly nodes = new Map<string, Map<string, BackendView>>();
 
-    public viewOf({ instanceId, nodeId }: { readonly instanceId: string; readonly nodeId: string; }): BackendView {
-        return this.views.get(`${nodeId}/${instanceId}`) ?? unknownView;
+    public viewOf({ instanceId, nodeId }: BackendKey): BackendView {
+        return this.nodes.get(nodeId)?.get(instanceId) ?? unknownView;
     }
 
     public begin(nodeId: string, instanceId: string): void {
@@ -46,17 +48,24 @@
     }
 
     /** Forgets backend servers that are gone. */
-    public keepOnly(keys: ReadonlySet<string>): void {
-        for (const [key, { outstanding }] of this.views) {
-            if (!keys.has(key) && outstanding === 0) {
-                this.views.delete(key);
+    public keepOnly(present: readonly BackendKey[]): void {
+        const keys = new Set(present.map(({ instanceId, nodeId }) => `${nodeId}/${instanceId}`));
+        for (const [nodeId, views] of this.nodes) {
+            for (const [instanceId, { outstanding }] of views) {
+                if (outstanding === 0 && !keys.has(`${nodeId}/${instanceId}`)) {
+                    views.delete(instanceId);
+                }
+            }
+            if (views.size === 0) {
+                this.nodes.delete(nodeId);
             }
         }
     }
 
     private change(nodeId: string, instanceId: string, change: (view: BackendView) => Partial<BackendView>): void {
-        const key = `${nodeId}/${instanceId}`;
-        const view = this.views.get(key) ?? unknownView;
-        this.views.set(key, { ...view, ...change(view) });
+        const views = this.nodes.get(nodeId) ?? new Map<string, BackendView>();
+        const view = views.get(instanceId) ?? unknownView;
+        views.set(instanceId, { ...view, ...change(view) });
+        this.nodes.set(nodeId, views);
     }
 }
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -11,16 +11,16 @@
 import { pickBackend } from "./pickBackend";
 import { raceWithHedge } from "./raceWithHedge";
 import { repeatBudget } from "./repeatBudget";
+import { ZonedChoices } from "./ZonedChoices";
 
 /** What attempts are made with. */
 type DispatcherOptions = {
-    readonly ownZone: string;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly calls: CallTask;
     readonly views: BackendViews;
     /** The backend servers that may run a request of the service now. */
-    readonly choices: (service: string) => readonly BackendChoice[];
+    readonly choices: (service: string) => ZonedChoices;
     readonly allowance: Parameters<typeof repeatBudget.mayRepeat>[1];
     readonly onAttempt: (attempt: EndedAttempt) => void;
 };
@@ -123,12 +123,11 @@
         { route, service, targetAtMs }: DispatchedCall,
         tried: ReadonlySet<string>,
     ): BackendChoice | undefined {
-        const { choices, clock, ownZone, random, views } = this.options;
+        const { choices, clock, random, views } = this.options;
         const nowMs = clock.monotonicMs();
         return pickBackend({
             choices: choices(service),
             viewOf: (choice) => views.viewOf(choice),
-            ownZone,
             tried,
             nowMs,
             targetRemainingMs: targetAtMs - nowMs,
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -3,14 +3,15 @@
 import { ServiceMove } from "../../deployment/ServiceMove";
 import { ServiceMoveState } from "../../deployment/ServiceMoveState";
 import { BackendChoice } from "../BackendChoice";
+import { BackendDirectory } from "../BackendDirectory";
 import { BackendView } from "../BackendView";
 import { CallerPatience } from "../CallerPatience";
 import { chooseService } from "../chooseService";
-import { chooseVersions } from "../chooseVersions";
 import { localInstances } from "../localInstances";
 import { pickBackend } from "../pickBackend";
 import { repeatBudget } from "../repeatBudget";
 import { slotQueue } from "../slotQueue";
+import { splitByZone } from "../splitByZone";
 
 const choice = (nodeId: string, change: Partial<BackendChoice> = {}): BackendChoice => ({
     nodeId,
@@ -41,9 +42,8 @@
     targetRemainingMs = 200,
     usualBytes = 5_000,
 ) => pickBackend({
-    choices,
+    choices: splitByZone(choices, "a"),
     viewOf: ({ nodeId }) => views[nodeId] ?? view(),
-    ownZone: "a",
     tried: new Set(tried),
     nowMs: 1_000,
     targetRemainingMs,
@@ -100,9 +100,8 @@
         let trials = 0;
         for (let request = 0; request < 1_000; request += 1) {
             const picked = pickBackend({
-                choices: [choice("one"), choice("fresh", { warmAtMs: 9_000 })],
+                choices: splitByZone([choice("one"), choice("fresh", { warmAtMs: 9_000 })], "a"),
                 viewOf: ({ nodeId }) => views[nodeId],
-                ownZone: "a",
                 tried: new Set(),
                 nowMs: 5_000,
                 targetRemainingMs: 200,
@@ -163,8 +162,13 @@
         acceptedAtMs: 0,
         reason: "",
     });
-    const names = (at: ServiceMove, fraction: number, from = choices) =>
-        chooseVersions(from, at, fraction).map(({ nodeId }) => nodeId);
+    const names = (at: ServiceMove, fraction: number, from = choices) => {
+        const directory = new BackendDirectory("a");
+        directory.follow(new Map([["canopy-map", from]]));
+        directory.followMoves(new Map([["canopy-map", at]]));
+        const { others, own } = directory.choose("canopy-map", fraction);
+        return [...own, ...others].map(({ nodeId }) => nodeId);
+    };
 
     test("is the target for the move's share only", () => {
         expect(names(move(ServiceMoveState.Running, 0.05), 0.04)).toEqual(["new"]);
@@ -179,6 +183,18 @@
 
     test("is the target alone once the move has finished", () => {
         expect(names(move(ServiceMoveState.Finished, 1), 0.99)).toEqual(["new"]);
+        expect(names(move(ServiceMoveState.Finished, 1), 0.99, [choices[0]])).toEqual(["old"]);
+    });
+
+    test("follows each change of the members and of the moves", () => {
+        const directory = new BackendDirectory("a");
+        expect(directory.choose("canopy-map", 0)).toEqual({ own: [], others: [] });
+        directory.follow(new Map([["canopy-map", choices]]));
+        expect(directory.choose("canopy-map", 0).own).toEqual(choices);
+        directory.followMoves(new Map([["canopy-map", move(ServiceMoveState.Running, 0.5)]]));
+        expect(directory.choose("canopy-map", 0.4).own).toEqual([choices[1]]);
+        directory.follow(new Map([["canopy-map", [choice("far", { zone: "b" })]]]));
+        expect(directory.choose("canopy-map", 0.4)).toEqual({ own: [], others: [choice("far", { zone: "b" })] });
     });
 });
 
--- a/src/calls/backendChoices.ts
+++ b/src/calls/backendChoices.ts
@@ -31,7 +31,9 @@
                 slots,
                 warmAtMs,
             };
-            choices.set(service, [...(choices.get(service) ?? []), choice]);
+            const present = choices.get(service) ?? [];
+            present.push(choice);
+            choices.set(service, present);
         }
     }
     return choices;
--- a/src/calls/pickBackend.ts
+++ b/src/calls/pickBackend.ts
@@ -1,12 +1,12 @@
 import { RandomSource } from "../core/RandomSource";
 import { BackendChoice } from "./BackendChoice";
 import { BackendView } from "./BackendView";
+import { ZonedChoices } from "./ZonedChoices";
 
 /** What a choice is made from. */
 type PickQuestion = {
-    readonly choices: readonly BackendChoice[];
+    readonly choices: ZonedChoices;
     readonly viewOf: (choice: BackendChoice) => BackendView;
-    readonly ownZone: string;
     /** Nodes that were tried already. */
     readonly tried: ReadonlySet<string>;
     readonly nowMs: number;
@@ -17,9 +17,19 @@
     readonly random: RandomSource;
 };
 
+/** A backend server that is looked at. */
+type Candidate = {
+    readonly choice: BackendChoice;
+    readonly view: BackendView;
+    readonly isNear: boolean;
+};
+
 /** Backend servers of other zones that are looked at: more would all rush to the same free slot. */
 const SAMPLE_OF_OTHER_ZONES = 2;
 
+/** How often is drawn for them, since a draw may hit one that was tried or can't be reached. */
+const DRAWS_OF_OTHER_ZONES = 16;
+
 /** What crossing zones must save at least: the way there and back, and the price of the bytes. */
 const ZONE_PENALTY_MS = 15;
 const ZONE_PENALTY_MS_PER_KILOBYTE = 10;
@@ -81,9 +91,8 @@
 };
 
 /** The cost of sending the request to this backend server, in milliseconds. */
-const costOf = (question: PickQuestion, choice: BackendChoice): number => {
-    const { nowMs, ownZone, targetRemainingMs, usualBytes, viewOf } = question;
-    const view = viewOf(choice);
+const costOf = (question: PickQuestion, { choice, isNear, view }: Candidate): number => {
+    const { nowMs, targetRemainingMs, usualBytes } = question;
     const fade = 0.5 ** ((nowMs - view.heardMs) / HALF_LIFE_MS);
     const serviceMs = (view.serviceMs ?? DEFAULT_SERVICE_MS) * (nowMs < choice.warmAtMs ? COLD_FACTOR : 1);
     const load = view.outstanding + view.others * fade;
@@ -91,33 +100,50 @@
     const crowding = Math.min(CROWDING_LIMIT, (load + 1) / choice.slots);
     const crowdingMs = serviceMs * CROWDING_SHARE * crowding ** CROWDING_POWER;
     const failureMs = view.failureShare * fade * FAILURE_PENALTY_MS;
-    const zoneMs = choice.zone === ownZone ? 0 : ZONE_PENALTY_MS + (usualBytes / 1_024) * ZONE_PENALTY_MS_PER_KILOBYTE;
+    const zoneMs = isNear ? 0 : ZONE_PENALTY_MS + (usualBytes / 1_024) * ZONE_PENALTY_MS_PER_KILOBYTE;
     return waitingCostMs(serviceMs + waitMs, targetRemainingMs) + crowdingMs + failureMs + zoneMs;
 };
 
-/** All of the own zone and a random few of the others. */
-const sample = (choices: readonly BackendChoice[], ownZone: string, random: RandomSource): readonly BackendChoice[] => {
-    const own = choices.filter(({ zone }) => zone === ownZone);
-    const others = choices.filter(({ zone }) => zone !== ownZone);
+/** Those of the list that may be tried: where some can be reached, only these. */
+const candidatesOf = (
+    { nowMs, tried, viewOf }: PickQuestion,
+    choices: readonly BackendChoice[],
+    isNear: boolean,
+): { readonly reachable: readonly Candidate[]; readonly heldBack: readonly Candidate[]; } => {
+    const reachable: Candidate[] = [];
+    const heldBack: Candidate[] = [];
+    for (const choice of choices) {
+        if (!tried.has(choice.nodeId)) {
+            const view = viewOf(choice);
+            (isHeldBack(view, nowMs) ? heldBack : reachable).push({ choice, view, isNear });
+        }
+    }
+    return { reachable, heldBack };
+};
+
+/** A random few of the other zones. The rest is not looked at: there may be many. */
+const drawOthers = (question: PickQuestion): ReturnType<typeof candidatesOf> => {
+    const { choices: { others }, random } = question;
     const drawn = new Set<BackendChoice>();
-    for (let draw = 0; draw < SAMPLE_OF_OTHER_ZONES && others.length > 0; draw += 1) {
+    const limit = Math.min(SAMPLE_OF_OTHER_ZONES, others.length);
+    let found = candidatesOf(question, [], false);
+    for (let draw = 0; draw < DRAWS_OF_OTHER_ZONES && found.reachable.length < limit; draw += 1) {
         drawn.add(random.pick(others));
+        found = candidatesOf(question, [...drawn], false);
     }
-    return [...own, ...drawn];
+    return found;
 };
 
 /** The backend server of the own zone that is due to be tried, if it is time for a trial at all. */
-const pickTrial = (question: PickQuestion, choices: readonly BackendChoice[]): BackendChoice | undefined => {
-    const { nowMs, ownZone, random, viewOf } = question;
+const pickTrial = ({ nowMs, random }: PickQuestion, near: readonly Candidate[]): BackendChoice | undefined => {
     if (random.fraction() >= TRIAL_SHARE) {
         return undefined;
     }
     let longest: BackendChoice | undefined;
     let heardMs = nowMs - UNHEARD_MS;
-    for (const choice of choices) {
-        const view = viewOf(choice);
+    for (const { choice, view } of near) {
         const isDue = view.outstanding === 0 && view.failureShare < TRIAL_FAILURE_LIMIT;
-        if (choice.zone === ownZone && isDue && view.heardMs < heardMs) {
+        if (isDue && view.heardMs < heardMs) {
             longest = choice;
             ({ heardMs } = view);
         }
@@ -127,19 +153,19 @@
 
 /** Chooses the backend server where the request costs least, or undefined if none may be tried. */
 export const pickBackend = (question: PickQuestion): BackendChoice | undefined => {
-    const { choices, nowMs, ownZone, random, tried, viewOf } = question;
-    const untried = choices.filter(({ nodeId }) => !tried.has(nodeId));
-    const reachable = untried.filter((choice) => !isHeldBack(viewOf(choice), nowMs));
-    const trial = pickTrial(question, reachable);
+    const near = candidatesOf(question, question.choices.own, true);
+    const trial = pickTrial(question, near.reachable);
     if (trial) {
         return trial;
     }
+    const far = drawOthers(question);
+    const reachable = [...near.reachable, ...far.reachable];
     let best: BackendChoice | undefined;
     let bestMs = Infinity;
-    for (const choice of sample(reachable.length > 0 ? reachable : untried, ownZone, random)) {
-        const costMs = costOf(question, choice);
+    for (const candidate of reachable.length > 0 ? reachable : [...near.heldBack, ...far.heldBack]) {
+        const costMs = costOf(question, candidate);
         if (costMs < bestMs) {
-            best = choice;
+            best = candidate.choice;
             bestMs = costMs;
         }
     }
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -1,11 +1,11 @@
 import { backendChoices } from "../calls/backendChoices";
 import { BackendClient } from "../calls/BackendClient";
+import { BackendDirectory } from "../calls/BackendDirectory";
 import { BackendViews } from "../calls/BackendViews";
 import { CallDispatcher } from "../calls/CallDispatcher";
 import { CallReceiver } from "../calls/CallReceiver";
 import { CallTask } from "../calls/CallTask";
 import { chooseService } from "../calls/chooseService";
-import { chooseVersions } from "../calls/chooseVersions";
 import { IngressServer } from "../calls/IngressServer";
 import { RouteIndex } from "../configuration/RouteIndex";
 import { Disposable } from "../core/Disposable";
@@ -29,7 +29,6 @@
 import { LocalBackendTask } from "./LocalBackendTask";
 import { moveVersions } from "./moveVersions";
 import { NodeMetrics } from "./NodeMetrics";
-import { ServiceMove } from "./ServiceMove";
 import { ServiceMoveState } from "./ServiceMoveState";
 
 /** A running node of a deployment. */
@@ -64,18 +63,17 @@
         output,
     });
 
-    // The route index, the moves and the choices are replaced whole; a request reads each once.
+    // The route index is replaced whole; a request reads it once.
     let routes:
         | { readonly index: RouteIndex; readonly version: number; readonly maximumBodyBytes: number; }
         | undefined;
-    let moves: ReadonlyMap<string, ServiceMove> = new Map();
-    let choices: ReturnType<typeof backendChoices> = new Map();
+    const directory = new BackendDirectory(zone);
     let stopping = false;
 
     const client = resources.add(new BackendClient(headerNames));
     const metrics: NodeMetrics = new NodeMetrics({
         configurationVersion: () => routes?.version ?? 0,
-        knownBackends: () => [...choices.values()].flat().length,
+        knownBackends: () => [...directory.choices.values()].flat().length,
         activeRequests: () => ingress.activeRequests,
         activeForBackend: () => receiver.activeCalls,
         openedConnections: () => client.opened,
@@ -104,10 +102,9 @@
 
     const followMembers = (state: MembershipState): void => {
         const present = membershipChanges.present(state);
-        choices = backendChoices(present, clock.monotonicMs(), choices);
+        directory.follow(backendChoices(present, clock.monotonicMs(), directory.choices));
         calls.followMembers(new Map(present.map(({ incarnation, peerAddress }) => [peerAddress, incarnation])));
-        const keys = [...choices.values()].flat().map(({ instanceId, nodeId }) => `${nodeId}/${instanceId}`);
-        views.keepOnly(new Set(keys));
+        views.keepOnly([...directory.choices.values()].flat());
         configuration.follow(controlAddresses(state, seeds));
     };
     const configuration: ConfigurationSubscriber = resources.add(
@@ -121,7 +118,7 @@
                 dispatcher.keepOnly(new Set(next.routes.map(({ name }) => name)));
             },
             onMoves: (next) => {
-                moves = next;
+                directory.followMoves(next);
                 for (const { reason, service, share, state, targetVersion } of next.values()) {
                     log.info("move-in-force", { service, targetVersion, state, share, reason });
                 }
@@ -131,12 +128,11 @@
 
     const recorder = new EvidenceRecorder();
     const dispatcher = new CallDispatcher({
-        ownZone: zone,
         clock,
         random,
         calls,
         views,
-        choices: (service) => chooseVersions(choices.get(service) ?? [], moves.get(service), random.fraction()),
+        choices: (service) => directory.choose(service, random.fraction()),
         allowance: {
             ratio: settings.repeatRatio * REPEAT_SHARE,
             windowMs: settings.repeatWindowMs,
@@ -156,7 +152,7 @@
                     elapsedMs: Math.round(elapsedMs),
                 });
             }
-            const move = moves.get(choice.service);
+            const move = directory.moveOf(choice.service);
             const isCold = clock.monotonicMs() - elapsedMs < choice.warmAtMs;
             const outcome = attemptOutcome({ result, overdue, isCold });
             if (move?.state === ServiceMoveState.Running && outcome) {
--- a/src/membership/MembershipTask.ts
+++ b/src/membership/MembershipTask.ts
@@ -58,6 +58,7 @@
     private readonly floors = new Map<string, number>();
     private state: MembershipState;
     private linkedChanges = 0;
+    private following: NodeJS.Timeout | undefined;
     private seeds: readonly SocketAddress[];
 
     public constructor(private readonly options: MembershipOptions) {
@@ -72,6 +73,7 @@
         });
         this.resources.every(membershipTimings.heartbeatIntervalMs, () => this.beat());
         this.resources.add({ dispose: () => this.links.forEach(({ link }) => link.dispose()) });
+        this.resources.add({ dispose: () => clearTimeout(this.following) });
         this.followNeighbours();
     }
 
@@ -129,7 +131,7 @@
             }
         }
         this.options.onChange(state);
-        this.followNeighbours();
+        this.followNeighboursSoon();
     }
 
     private receive(
@@ -245,6 +247,14 @@
         }
     }
 
+    /** News comes in many small messages while a mesh starts; the neighbours are chosen once for all of them. */
+    private followNeighboursSoon(): void {
+        this.following ??= setTimeout(() => {
+            this.following = undefined;
+            this.followNeighbours();
+        }, membershipTimings.neighbourDelayMs);
+    }
+
     /** Opens and closes links so that they lead to the chosen neighbours, and to the seeds while those are unknown. */
     private followNeighbours(): void {
         if (this.linkedChanges === this.state.changes) {
