Ask an idle link for a sign of life before an order goes over it

Cause: with heartbeats every 20 s a link that fell silent while idle is not closed within 5 s any more. A request that must not be repeated and was sent there waited until its deadline; before, the first 5 s had the same gap.

Change: over a link that was not heard of for a second, such a request is sent only after a sign of life; without one within 600 ms, or when the link closes, it goes over a new link. Repeatable requests are sent at once, as before: a silent link is noticed after 850 ms and they are sent again.

Conclusion: the gap is one second instead of five, at a round trip for orders over rarely used links.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -34,6 +34,8 @@
     heardAtMs: number;
     /** When a sign of life was asked for that has not come yet. */
     askedAtMs: number | undefined;
+    /** Called with true at the next sign of life, with false when the link closes. */
+    readonly awaitingSign: Set<(isAlive: boolean) => void>;
 };
 
 /** A link that carried no request for this long is closed. */
@@ -45,6 +47,12 @@
 /** A link on which requests wait and nothing came for this long is asked for a sign of life. */
 const ASK_AFTER_MS = 250;
 
+/**
+ * A request that must not be repeated first asks for a sign of life where nothing came for this long, since a link can
+ * have fallen silent while it was idle. It costs a round trip, so links that are used all the time are spared.
+ */
+const FRESH_FOR_MS = 1_000;
+
 /** Without a sign of life for this long the link counts as silent: far beyond a busy node's usual pause. */
 const SILENT_AFTER_MS = 600;
 
@@ -102,13 +110,10 @@
             this.noteLoad(nodeId, this.options.receiver.loadFor(nodeId));
             return result;
         }
-        const nodeLink = this.linkTo(address);
+        const nodeLink = await this.openLink(address, mayRepeat);
         if (!nodeLink) {
             return unreachable;
         }
-        if (!nodeLink.link.isOpen() && !(await nodeLink.link.untilOpen(OPEN_WAIT_MS))) {
-            return unreachable;
-        }
         if (signal.aborted) {
             return { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
         }
@@ -172,6 +177,36 @@
         });
     }
 
+    /** The link to a node once it is open, and for what may not be repeated also known to be alive. */
+    private async openLink(address: string, mayRepeat: boolean): Promise<NodeLink | undefined> {
+        const present = this.linkTo(address);
+        if (!present || !(await present.link.untilOpen(OPEN_WAIT_MS))) {
+            return undefined;
+        }
+        if (mayRepeat || await this.isAlive(present)) {
+            return present;
+        }
+        this.retire(address, present);
+        const renewed = this.linkTo(address);
+        return renewed && await renewed.link.untilOpen(OPEN_WAIT_MS) ? renewed : undefined;
+    }
+
+    private isAlive({ awaitingSign, heardAtMs, link }: NodeLink): Promise<boolean> {
+        if (performance.now() - heardAtMs < FRESH_FOR_MS) {
+            return Promise.resolve(true);
+        }
+        link.send({ kind: "ping" } satisfies CallMessage);
+        return new Promise((resolve) => {
+            const finish = (isAlive: boolean): void => {
+                clearTimeout(timer);
+                awaitingSign.delete(finish);
+                resolve(isAlive);
+            };
+            const timer = setTimeout(() => finish(false), SILENT_AFTER_MS);
+            awaitingSign.add(finish);
+        });
+    }
+
     private linkTo(text: string): NodeLink | undefined {
         const present = this.links.get(text);
         const address = parseAddress(text);
@@ -181,12 +216,19 @@
         const outstanding = new Map<number, Outstanding>();
         const link = this.options.network.open(Channel.Calls, address, {
             heartbeatMs: HEARTBEAT_MS,
+            onOpen: () => {
+                opened.heardAtMs = performance.now();
+            },
             onMessage: (body) => {
                 opened.heardAtMs = performance.now();
                 opened.askedAtMs = undefined;
+                opened.awaitingSign.forEach((onSign) => onSign(true));
                 this.onResult(link.peerIdentity(), outstanding, body as CallMessage);
             },
-            onClose: () => [...outstanding.values()].forEach(({ settle }) => settle(broken)),
+            onClose: () => {
+                opened.awaitingSign.forEach((onSign) => onSign(false));
+                [...outstanding.values()].forEach(({ settle }) => settle(broken));
+            },
         });
         const opened: NodeLink = {
             link,
@@ -194,6 +236,7 @@
             usedAtMs: performance.now(),
             heardAtMs: 0,
             askedAtMs: undefined,
+            awaitingSign: new Set(),
         };
         this.links.set(text, opened);
         return opened;
@@ -268,7 +311,9 @@
 
     /** New requests get a new link. What may be repeated is told at once; the rest still waits on the silent one. */
     private retire(address: string, nodeLink: NodeLink): void {
-        this.links.delete(address);
+        if (this.links.get(address) === nodeLink) {
+            this.links.delete(address);
+        }
         this.retired.add(nodeLink);
         [...nodeLink.outstanding.values()].filter(({ mayRepeat }) => mayRepeat).forEach(({ settle }) => settle(silent));
         this.disposeRetired(nodeLink);
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -1,4 +1,5 @@
 import { HybridClock } from "../../core/HybridClock";
+import { pause } from "../../core/pause";
 import { RandomSource } from "../../core/RandomSource";
 import { SystemClock } from "../../core/SystemClock";
 import { FaultProxy } from "../../emulator/FaultProxy";
@@ -14,6 +15,9 @@
     answer: { status: 200, reason: "OK", headers: ["Content-Type", "image/png"], body: Buffer.from("tile") },
 };
 
+/** Links that were heard of within this time are used without a question. */
+const FRESH_FOR_MS = 1_000;
+
 describe("requests between nodes", () => {
     let disposables: { dispose: () => unknown; }[] = [];
     /** What the receiving node does with a request. */
@@ -133,6 +137,14 @@
         expect(await send("r2", false)).toMatchObject({ kind: "answered" });
     });
 
+    test("that must not be repeated are not lost on a link that fell silent while it was idle", async () => {
+        run = () => Promise.resolve(answered);
+        expect(await send("r1", false)).toMatchObject({ kind: "answered" });
+        proxy.silenceOpen();
+        await pause(FRESH_FOR_MS + 50);
+        expect(await send("r2", false)).toMatchObject({ kind: "answered" });
+    });
+
     test("that run keep their link when the node is told of anew", async () => {
         let finish: () => void = () => undefined;
         const arrived = new Promise<void>((resolve) => {
