Serve metrics on control replicas

Change: ControlMetrics counts operators' requests by kind and outcome with their times, disk failures, and shows leader, term, indexes, group, members and moves. It belongs to the supervisor, so that it answers while the replica is started anew after a disk failure. NodeMetrics and it share ProcessMetrics.

--- a/src/deployment/ControlSupervisor.ts
+++ b/src/deployment/ControlSupervisor.ts
@@ -1,6 +1,9 @@
 import { Disposable } from "../core/Disposable";
 import { openLogOutput } from "../core/openLogOutput";
 import { pause } from "../core/pause";
+import { MetricsServer } from "../metrics/MetricsServer";
+import { addressOf } from "../transport/addressOf";
+import { ControlMetrics } from "./ControlMetrics";
 import { createDeploymentControl } from "./createDeploymentControl";
 import { DeploymentControlSettings } from "./DeploymentControlSettings";
 
@@ -15,6 +18,11 @@
  */
 export class ControlSupervisor implements Disposable {
     private readonly output = openLogOutput();
+    private readonly metrics: ControlMetrics = new ControlMetrics(
+        () => this.control?.readings(),
+        () => this.output.droppedLines(),
+    );
+    private readonly metricsServer = new MetricsServer(this.metrics.registry);
     private control: DeploymentControl | undefined;
     private settings: DeploymentControlSettings;
     private stopping = false;
@@ -31,8 +39,11 @@
 
     /** Starts the replica. Rejects if its settings or its disk make a start impossible. */
     public async start(): Promise<DeploymentControl> {
-        const control = await this.create(this.settings, this.output, () => void this.restart());
-        this.control = control;
+        const { metricsPort, peerAddress } = this.settings;
+        const control = await this.startReplica();
+        if (metricsPort !== undefined) {
+            await this.metricsServer.listen({ host: addressOf(peerAddress).host, port: metricsPort });
+        }
         return control;
     }
 
@@ -43,6 +54,7 @@
 
     public async stop(): Promise<void> {
         this.stopping = true;
+        this.metricsServer.dispose();
         await this.control?.stop();
         this.output.close();
     }
@@ -51,7 +63,14 @@
         return this.stop();
     }
 
+    private async startReplica(): Promise<DeploymentControl> {
+        const control = await this.create(this.settings, this.output, this.metrics, () => void this.restart());
+        this.control = control;
+        return control;
+    }
+
     private async restart(): Promise<void> {
+        this.metrics.countDiskFailure();
         const failed = this.control;
         this.control = undefined;
         await failed?.dispose();
@@ -65,7 +84,7 @@
 
     private async tryStart(failed: DeploymentControl | undefined): Promise<void> {
         try {
-            await this.start();
+            await this.startReplica();
             failed?.log.info("control-restarted");
         }
         catch (error) {
--- a/src/deployment/DeploymentAdministration.ts
+++ b/src/deployment/DeploymentAdministration.ts
@@ -19,6 +19,8 @@
     readonly status: () => ConsensusStatus;
     readonly propose: (command: DeploymentCommand) => Promise<ProposalOutcome>;
     readonly readBarrier: () => Promise<ProposalOutcome>;
+    /** Called with each request of an operator and how it ended. */
+    readonly onOrder: (order: string, outcome: string, elapsedMs: number) => void;
 };
 
 /** Carries out operators' requests. Only the leader does; the others name it. */
@@ -33,7 +35,10 @@
         const present = this.options.state().configuration;
         const base = present?.version === baseVersion ? present : undefined;
         const delta = configurationDeltas.between(base, configuration);
-        const result = await this.carryOut({ kind: "put-configuration", baseVersion, delta });
+        const result = await this.timed(
+            "put-configuration",
+            () => this.carryOut({ kind: "put-configuration", baseVersion, delta }),
+        );
         const currentVersion = this.options.state().configuration?.version ?? 0;
         this.options.log.info("configuration-put", {
             version: configuration.version,
@@ -51,7 +56,10 @@
         durationMs: number,
     ): Promise<AdministrationResult<number>> {
         const atMs = this.options.clock.wallMs();
-        const result = await this.carryOut({ kind: "start-move", service, targetVersion, durationMs, atMs });
+        const result = await this.timed(
+            "start-move",
+            () => this.carryOut({ kind: "start-move", service, targetVersion, durationMs, atMs }),
+        );
         this.options.log.info("move-ordered", {
             service,
             targetVersion,
@@ -63,16 +71,31 @@
     }
 
     /** The newest configuration, confirmed by a quorum. */
-    public async readConfiguration(): Promise<AdministrationResult<MeshConfiguration>> {
-        const failure = await this.confirm();
-        const { configuration } = this.options.state();
-        return failure ?? (configuration ? { kind: "done", value: configuration } : { kind: "not-found" });
+    public readConfiguration(): Promise<AdministrationResult<MeshConfiguration>> {
+        return this.timed<MeshConfiguration>("read-configuration", async () => {
+            const failure = await this.confirm();
+            const { configuration } = this.options.state();
+            return failure ?? (configuration ? { kind: "done", value: configuration } : { kind: "not-found" });
+        });
     }
 
-    public async readMove(service: string): Promise<AdministrationResult<ServiceMove>> {
-        const failure = await this.confirm();
-        const move = this.options.state().moves.get(service);
-        return failure ?? (move ? { kind: "done", value: move } : { kind: "not-found" });
+    public readMove(service: string): Promise<AdministrationResult<ServiceMove>> {
+        return this.timed<ServiceMove>("read-move", async () => {
+            const failure = await this.confirm();
+            const move = this.options.state().moves.get(service);
+            return failure ?? (move ? { kind: "done", value: move } : { kind: "not-found" });
+        });
+    }
+
+    private async timed<Value>(
+        order: string,
+        carryOut: () => Promise<AdministrationResult<Value>>,
+    ): Promise<AdministrationResult<Value>> {
+        const { clock, onOrder } = this.options;
+        const startedMs = clock.monotonicMs();
+        const result = await carryOut();
+        onOrder(order, result.kind, clock.monotonicMs() - startedMs);
+        return result;
     }
 
     private reasonOf(result: AdministrationResult<unknown>): string | undefined {
--- a/src/deployment/DeploymentControlSettings.ts
+++ b/src/deployment/DeploymentControlSettings.ts
@@ -12,4 +12,6 @@
     readonly dataFolder: string;
     readonly secret: string;
     readonly electionTimeoutMs: number;
+    /** Undefined serves no metrics. */
+    readonly metricsPort: number | undefined;
 };
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -1,4 +1,5 @@
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram } from "prom-client";
+import { ProcessMetrics } from "../metrics/ProcessMetrics";
 
 /** What the gauges of a node show when they are read. */
 type NodeReadings = {
@@ -14,14 +15,14 @@
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4];
 
 /** The counters, histograms and gauges of a node. Labels take a few values each, never ids. */
-export class NodeMetrics {
-    public readonly registry = new Registry();
+export class NodeMetrics extends ProcessMetrics {
     private readonly requests: Counter;
     private readonly latency: Histogram;
     private readonly attempts: Counter;
     private readonly refused: Counter;
 
     public constructor(readings: NodeReadings) {
+        super();
         const registers = [this.registry];
         this.requests = new Counter({
             name: "filbertdeal_requests_total",
@@ -71,15 +72,4 @@
     public countRefused(reason: string): void {
         this.refused.inc({ reason });
     }
-
-    private gauge(name: string, help: string, read: () => number): void {
-        new Gauge({
-            name: `filbertdeal_${name}`,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
-    }
 }
--- a/src/deployment/__tests__/ControlSupervisor.test.ts
+++ b/src/deployment/__tests__/ControlSupervisor.test.ts
@@ -11,6 +11,7 @@
     dataFolder: "/nowhere",
     secret: "test",
     electionTimeoutMs: 500,
+    metricsPort: undefined,
 };
 
 type Start = { readonly isFirstStart: boolean; readonly fail: (error: Error) => void; };
@@ -24,7 +25,12 @@
             restarted = resolve;
         });
         const log = { info: () => undefined, warn: () => undefined, error: (event: string) => events.push(event) };
-        const create = (started: DeploymentControlSettings, _output: unknown, fail: (error: Error) => void) => {
+        const create = (
+            started: DeploymentControlSettings,
+            _output: unknown,
+            _metrics: unknown,
+            fail: (error: Error) => void,
+        ) => {
             starts.push({ isFirstStart: started.isFirstStart, fail });
             if (starts.length === 2) {
                 return Promise.reject(new Error("ENOSPC"));
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -14,18 +14,22 @@
 import { addressOf } from "../transport/addressOf";
 import { ConfigurationPublisher } from "./ConfigurationPublisher";
 import { controlAddresses } from "./controlAddresses";
+import { ControlMetrics } from "./ControlMetrics";
+import { ControlReadings } from "./ControlReadings";
 import { DeploymentAdministration } from "./DeploymentAdministration";
 import { DeploymentCommand } from "./DeploymentCommand";
 import { DeploymentControlSettings } from "./DeploymentControlSettings";
 import { DeploymentStateMachine } from "./DeploymentStateMachine";
 import { GroupTask } from "./GroupTask";
 import { readReplicaIdentity } from "./readReplicaIdentity";
+import { ServiceMoveState } from "./ServiceMoveState";
 import { ServiceMoveTask } from "./ServiceMoveTask";
 
 /** A running control replica of a deployment. */
 type DeploymentControl = Disposable & {
     readonly administration: DeploymentAdministration;
     readonly log: EventLog;
+    readonly readings: () => ControlReadings;
     readonly followSeeds: (seeds: readonly string[]) => void;
     readonly stop: () => Promise<void>;
 };
@@ -45,12 +49,14 @@
 /**
  * Wires a control replica of a deployment and starts it.
  * @param output where its log lines go
+ * @param metrics that its work is counted in
  * @param onDiskFailure is called when the disk refused a write: the replica must be stopped, and started anew from
  * what the disk holds
  */
 export const createDeploymentControl = async (
     settings: DeploymentControlSettings,
     output: ConstructorParameters<typeof EventLog>[2],
+    metrics: ControlMetrics,
     onDiskFailure: (error: Error) => void,
 ): Promise<DeploymentControl> => {
     const { dataFolder, electionTimeoutMs, isFirstStart, peerAddress, secret, zone } = settings;
@@ -156,7 +162,23 @@
         status: () => consensus.status(),
         propose,
         readBarrier: () => consensus.readBarrier(),
+        onOrder: (order, outcome, elapsedMs) => metrics.countOrder(order, outcome, elapsedMs),
     });
+    const readings = (): ControlReadings => {
+        const { appliedIndex, commitIndex, membership: group, role, term } = consensus.status();
+        const { configuration, moves: moved } = stateMachine.state;
+        return {
+            isLeader: role === Role.Leader,
+            term,
+            commitIndex,
+            appliedIndex,
+            voters: group.voters.length,
+            learners: group.learners.length,
+            members: membershipChanges.present(membership.present).length,
+            configurationVersion: configuration?.version ?? 0,
+            runningMoves: [...moved.values()].filter(({ state }) => state === ServiceMoveState.Running).length,
+        };
+    };
     const stop = async (): Promise<void> => {
         log.info("control-stopped", { members: membershipChanges.present(membership.present).length });
         membership.leave();
@@ -167,5 +189,5 @@
         membership.followSeeds(next.map(addressOf));
         group.follow(controlAddresses(membership.present, next));
     };
-    return { administration, log, followSeeds, stop, dispose: () => resources.dispose() };
+    return { administration, log, readings, followSeeds, stop, dispose: () => resources.dispose() };
 };
