--- a/src/emulator/ManagedProcess.ts
+++ b/src/emulator/ManagedProcess.ts
@@ -80,8 +80,8 @@
         await this.exited;
     }
 
-    /** Stops the process without ending it, or lets it go on. */
-    public signal(signal: "SIGSTOP" | "SIGCONT"): void {
+    /** Stops the process without ending it, lets it go on, or has it read its settings again. */
+    public signal(signal: "SIGSTOP" | "SIGCONT" | "SIGHUP"): void {
         this.child.kill(signal);
     }
 
