Hold a departure that was said to a node just started; count the wait for a link

A departure of a backend server that the process had not heard of was answered 200 and forgotten; the next announcement brought the backend server back, and its time to leave began anew. Ruled out: links and their heartbeats (the node itself ran the request).

Cause 2: found while reading: the time that an order waits for a sign of life or for a link was not taken from its remaining time, so that a node could run it up to 0.85 s after its caller had left.

Change: departures of unknown starts are kept and hold for the announcement that follows; a start whose first word is that it leaves gets nothing, since it is unknown since when. CallTask takes its wait from the order's times.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -110,6 +110,7 @@
             this.noteLoad(nodeId, this.options.receiver.loadFor(nodeId));
             return result;
         }
+        const askedAtMs = performance.now();
         const nodeLink = await this.openLink(address, mayRepeat);
         if (!nodeLink) {
             return unreachable;
@@ -117,7 +118,13 @@
         if (signal.aborted) {
             return { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
         }
-        return this.exchange(nodeLink, order, mayRepeat, signal);
+        const waitedMs = Math.ceil(performance.now() - askedAtMs);
+        const remainingMs = order.remainingMs - waitedMs;
+        if (remainingMs <= 0) {
+            return { kind: "not-run", reason: "expired", retryAfterMs: 0 };
+        }
+        const targetRemainingMs = order.targetRemainingMs - waitedMs;
+        return this.exchange(nodeLink, { ...order, remainingMs, targetRemainingMs }, mayRepeat, signal);
     }
 
     /**
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -145,6 +145,21 @@
         expect(await send("r2", false)).toMatchObject({ kind: "answered" });
     });
 
+    test("are not sent when the wait for a link has used up their time", async () => {
+        let runs = 0;
+        run = () => {
+            runs += 1;
+            return Promise.resolve(answered);
+        };
+        await send("r1", false);
+        proxy.silenceOpen();
+        await pause(FRESH_FOR_MS + 50);
+        const order = { ...sampleOrder("r2"), remainingMs: 300 };
+        const result = await sender.send("receiver", address, order, false, new AbortController().signal);
+        expect(result).toMatchObject({ kind: "not-run", reason: "expired" });
+        expect(runs).toBe(1);
+    });
+
     test("that run keep their link when the node is told of anew", async () => {
         let finish: () => void = () => undefined;
         const arrived = new Promise<void>((resolve) => {
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -368,6 +368,24 @@
         expect(localInstances.announce(leaving, said({ bornMs: 2_000 }), 300)?.leavingSinceMs).toBeUndefined();
     });
 
+    test("that it leaves holds also if it was said before anything else was heard of that start", () => {
+        const departure = { id: "i-1", bornMs: 1_000, sinceMs: 50 };
+        expect(localInstances.announce(undefined, said(), 100, departure)?.leavingSinceMs).toBe(50);
+        expect(localInstances.announce(undefined, said({ leaving: true }), 100, departure)?.leavingSinceMs).toBe(50);
+        const unnamed = { ...departure, bornMs: 0 };
+        expect(localInstances.announce(undefined, said(), 100, unnamed)?.leavingSinceMs).toBe(50);
+        const next = said({ bornMs: 2_000 });
+        expect(localInstances.announce(undefined, next, 100, departure)?.leavingSinceMs).toBeUndefined();
+        expect(localInstances.announce(undefined, said({ id: "i-2" }), 100, departure)?.leavingSinceMs).toBeUndefined();
+    });
+
+    test("that it leaves, as the first word of a start, was said to an earlier process of the node: nothing is sent", () => {
+        const heard = localInstances.announce(undefined, said({ leaving: true }), 100);
+        expect(heard?.leavingSinceMs).toBe(Number.NEGATIVE_INFINITY);
+        const again = localInstances.announce(heard, said({ leaving: true, sequence: 9 }), 200);
+        expect(again?.leavingSinceMs).toBe(Number.NEGATIVE_INFINITY);
+    });
+
     test("that it leaves counts only from that backend server", () => {
         expect(localInstances.leave(present, "i-2", 0, 100)).toBe(present);
         expect(localInstances.leave(present, "i-1", 900, 100)).toBe(present);
--- a/src/calls/localInstances.ts
+++ b/src/calls/localInstances.ts
@@ -1,3 +1,4 @@
+import { Departure } from "./Departure";
 import { LocalInstance } from "./LocalInstance";
 
 /** What a backend server says of itself. */
@@ -6,6 +7,9 @@
     readonly coldRemainingMs: number;
 };
 
+/** Longer ago than any time to leave. */
+const LONG_AGO_MS = Number.NEGATIVE_INFINITY;
+
 /** True if an announcement is older news than what is known, or lacks the proof that it is newer. */
 const isStale = (present: LocalInstance | undefined, { bornMs, id, sequence }: Announcement): boolean => {
     if (!present) {
@@ -17,40 +21,57 @@
     return present.id === id && sequence <= present.sequence;
 };
 
+const isOfStart = ({ bornMs, id }: Departure, heard: Announcement): boolean =>
+    id === heard.id && (bornMs === 0 || bornMs === heard.bornMs);
+
+/**
+ * Since when a start that was not known before leaves. One that says so with the first word that is heard of it said it
+ * to an earlier process of this node, nobody knows when.
+ */
+const firstLeavingSinceMs = (heard: Announcement, departure: Departure | undefined): number | undefined => {
+    if (departure && isOfStart(departure, heard)) {
+        return departure.sinceMs;
+    }
+    return heard.leaving ? LONG_AGO_MS : undefined;
+};
+
 /**
  * Takes in an announcement. Leaving is final for one start of an instance: a later "ready" of the same start
  * does not bring it back.
+ * @param departure that was heard before
  */
 const announce = (
     present: LocalInstance | undefined,
     heard: Announcement,
     nowMs: number,
+    departure?: Departure,
 ): LocalInstance | undefined => {
     if (isStale(present, heard)) {
         return present;
     }
     const { coldRemainingMs, leaving, ...instance } = heard;
-    const sameStart = present?.id === heard.id && present.bornMs === heard.bornMs;
-    const leftBefore = sameStart ? present.leavingSinceMs : undefined;
-    return {
-        ...instance,
-        leavingSinceMs: leftBefore ?? (leaving ? nowMs : undefined),
-        warmAtMs: nowMs + coldRemainingMs,
-    };
+    const known = present?.id === heard.id && present.bornMs === heard.bornMs ? present : undefined;
+    const leavingSinceMs = known
+        ? known.leavingSinceMs ?? (leaving ? nowMs : undefined)
+        : firstLeavingSinceMs(heard, departure);
+    return { ...instance, leavingSinceMs, warmAtMs: nowMs + coldRemainingMs };
 };
 
-/** The instance says that it leaves for good. Returns it unchanged if another one has taken its place. */
+const isKnown = (present: LocalInstance | undefined, id: string, bornMs: number): present is LocalInstance =>
+    present?.id === id && (bornMs === 0 || present.bornMs === bornMs);
+
+/** The instance says that it leaves for good. Returns what is present unchanged if that is another one. */
 const leave = (
     present: LocalInstance | undefined,
     id: string,
     bornMs: number,
     nowMs: number,
 ): LocalInstance | undefined => {
-    if (!present || present.id !== id || (bornMs !== 0 && present.bornMs !== bornMs)) {
+    if (!isKnown(present, id, bornMs)) {
         return present;
     }
     return { ...present, leavingSinceMs: present.leavingSinceMs ?? nowMs };
 };
 
 /** Decisions on the backend server of this host. */
-export const localInstances = { announce, leave } as const;
+export const localInstances = { announce, isKnown, leave } as const;
--- a/src/deployment/LocalBackendTask.ts
+++ b/src/deployment/LocalBackendTask.ts
@@ -1,4 +1,5 @@
 import { CallReceiver } from "../calls/CallReceiver";
+import { Departure } from "../calls/Departure";
 import { LocalInstance } from "../calls/LocalInstance";
 import { localInstances } from "../calls/localInstances";
 import { Clock } from "../core/Clock";
@@ -22,19 +23,32 @@
 
 /** Follows what the backend server of this host says of itself, and tells the other nodes. */
 export class LocalBackendTask {
+    /** Those that left before they were announced to this process, by instance. */
+    private readonly departures = new Map<string, Departure>();
     private stopping = false;
 
     public constructor(private readonly options: LocalBackendOptions) {}
 
     public announce(heard: Parameters<typeof localInstances.announce>[1]): void {
         const { clock, receiver } = this.options;
-        this.take(localInstances.announce(receiver.present, heard, clock.monotonicMs()), "instance-announced");
+        const departure = this.departures.get(heard.id);
+        this.take(
+            localInstances.announce(receiver.present, heard, clock.monotonicMs(), departure),
+            "instance-announced",
+        );
     }
 
     /** @param bornMs the start that leaves; 0 if it is not named */
     public leave(id: string, bornMs: number): void {
-        const { clock, receiver } = this.options;
-        this.take(localInstances.leave(receiver.present, id, bornMs, clock.monotonicMs()), "instance-leaving");
+        const { clock, log, receiver } = this.options;
+        const { present } = receiver;
+        if (!localInstances.isKnown(present, id, bornMs)) {
+            // A process of this node that was just started has heard nothing yet, but what it answers must hold.
+            this.departures.set(id, { id, bornMs, sinceMs: clock.monotonicMs() });
+            log.info("departure-noted", { instance: id, bornMs });
+            return;
+        }
+        this.take(localInstances.leave(present, id, bornMs, clock.monotonicMs()), "instance-leaving");
     }
 
     /** This node stops: others are to send no more requests for its backend server. */
