Look at each backend server once in a choice, and say a few things once

Found when reading the whole change again; behaviour stays as it is.

- pickBackend built its drawn candidates anew with each draw and kept two lists beside each other; a candidate now says itself whether it is held back.
- BackendDirectory handled an empty target version twice.
- Whether a name stands for a start of a backend server was written twice.
- heartbeatPace alone holds the pace for openers that ask for none.
- A variable of createDeploymentControl hid another one of the same name.

No assertion changed.

--- a/src/calls/BackendDirectory.ts
+++ b/src/calls/BackendDirectory.ts
@@ -12,13 +12,15 @@
     readonly targetShare: number;
 };
 
-const nowhere: ZonedChoices = { own: [], others: [] };
-
-const shareOf = ({ share, state }: ServiceMove, hasTarget: boolean): number => {
-    if (!hasTarget || state === ServiceMoveState.TakenBack) {
-        return 0;
+const shareOf = ({ share, state }: ServiceMove): number => {
+    switch (state) {
+        case ServiceMoveState.Finished:
+            return 1;
+        case ServiceMoveState.TakenBack:
+            return 0;
+        case ServiceMoveState.Running:
+            return share;
     }
-    return state === ServiceMoveState.Finished ? 1 : share;
 };
 
 /** Holds where requests may go, prepared for the call path: it is built anew with each change, not with each request. */
@@ -61,11 +63,11 @@
         const choices = this.present.get(service) ?? [];
         const move = this.moves.get(service);
         const isTarget = ({ version }: BackendChoice): boolean => version === move?.targetVersion;
-        const target = move ? choices.filter(isTarget) : [];
+        const target = choices.filter(isTarget);
         const entry: ServiceEntry = {
-            target: target.length > 0 ? splitByZone(target, this.ownZone) : nowhere,
+            target: splitByZone(target, this.ownZone),
             others: splitByZone(choices.filter((choice) => !isTarget(choice)), this.ownZone),
-            targetShare: move ? shareOf(move, target.length > 0) : 0,
+            targetShare: move && target.length > 0 ? shareOf(move) : 0,
         };
         this.entries.set(service, entry);
         return entry;
--- a/src/calls/localInstances.ts
+++ b/src/calls/localInstances.ts
@@ -21,15 +21,19 @@
     return present.id === id && sequence <= present.sequence;
 };
 
-const isOfStart = ({ bornMs, id }: Departure, heard: Announcement): boolean =>
-    id === heard.id && (bornMs === 0 || bornMs === heard.bornMs);
+/** One start of an instance. */
+type Start = Pick<LocalInstance, "bornMs" | "id">;
+
+/** True if the name, which may leave the time of the start open as 0, stands for this start. */
+const names = (name: Start, start: Start): boolean =>
+    name.id === start.id && (name.bornMs === 0 || name.bornMs === start.bornMs);
 
 /**
  * Since when a start that was not known before leaves. One that says so with the first word that is heard of it said it
  * to an earlier process of this node, nobody knows when.
  */
 const firstLeavingSinceMs = (heard: Announcement, departure: Departure | undefined): number | undefined => {
-    if (departure && isOfStart(departure, heard)) {
+    if (departure && names(departure, heard)) {
         return departure.sinceMs;
     }
     return heard.leaving ? LONG_AGO_MS : undefined;
@@ -58,7 +62,7 @@
 };
 
 const isKnown = (present: LocalInstance | undefined, id: string, bornMs: number): present is LocalInstance =>
-    present?.id === id && (bornMs === 0 || present.bornMs === bornMs);
+    present !== undefined && names({ id, bornMs }, present);
 
 /** The instance says that it leaves for good. Returns what is present unchanged if that is another one. */
 const leave = (
--- a/src/calls/pickBackend.ts
+++ b/src/calls/pickBackend.ts
@@ -22,6 +22,8 @@
     readonly choice: BackendChoice;
     readonly view: BackendView;
     readonly isNear: boolean;
+    /** It could not be reached lately. */
+    readonly isHeldBack: boolean;
 };
 
 /** Backend servers of other zones that are looked at: more would all rush to the same free slot. */
@@ -104,34 +106,25 @@
     return waitingCostMs(serviceMs + waitMs, targetRemainingMs) + crowdingMs + failureMs + zoneMs;
 };
 
-/** Those of the list that may be tried: where some can be reached, only these. */
-const candidatesOf = (
-    { nowMs, tried, viewOf }: PickQuestion,
-    choices: readonly BackendChoice[],
-    isNear: boolean,
-): { readonly reachable: readonly Candidate[]; readonly heldBack: readonly Candidate[]; } => {
-    const reachable: Candidate[] = [];
-    const heldBack: Candidate[] = [];
-    for (const choice of choices) {
-        if (!tried.has(choice.nodeId)) {
-            const view = viewOf(choice);
-            (isHeldBack(view, nowMs) ? heldBack : reachable).push({ choice, view, isNear });
-        }
-    }
-    return { reachable, heldBack };
+const lookAt = ({ nowMs, viewOf }: PickQuestion, choice: BackendChoice, isNear: boolean): Candidate => {
+    const view = viewOf(choice);
+    return { choice, view, isNear, isHeldBack: isHeldBack(view, nowMs) };
 };
 
 /** A random few of the other zones. The rest is not looked at: there may be many. */
-const drawOthers = (question: PickQuestion): ReturnType<typeof candidatesOf> => {
-    const { choices: { others }, random } = question;
-    const drawn = new Set<BackendChoice>();
-    const limit = Math.min(SAMPLE_OF_OTHER_ZONES, others.length);
-    let found = candidatesOf(question, [], false);
-    for (let draw = 0; draw < DRAWS_OF_OTHER_ZONES && found.reachable.length < limit; draw += 1) {
-        drawn.add(random.pick(others));
-        found = candidatesOf(question, [...drawn], false);
+const drawOthers = (question: PickQuestion): readonly Candidate[] => {
+    const { choices: { others }, random, tried } = question;
+    const drawn = new Map<BackendChoice, Candidate>();
+    let missing = Math.min(SAMPLE_OF_OTHER_ZONES, others.length);
+    for (let draw = 0; draw < DRAWS_OF_OTHER_ZONES && missing > 0; draw += 1) {
+        const choice = random.pick(others);
+        if (!drawn.has(choice) && !tried.has(choice.nodeId)) {
+            const candidate = lookAt(question, choice, false);
+            drawn.set(choice, candidate);
+            missing -= candidate.isHeldBack ? 0 : 1;
+        }
     }
-    return found;
+    return [...drawn.values()];
 };
 
 /** The backend server of the own zone that is due to be tried, if it is time for a trial at all. */
@@ -141,8 +134,8 @@
     }
     let longest: BackendChoice | undefined;
     let heardMs = nowMs - UNHEARD_MS;
-    for (const { choice, view } of near) {
-        const isDue = view.outstanding === 0 && view.failureShare < TRIAL_FAILURE_LIMIT;
+    for (const { choice, isHeldBack: isAvoided, view } of near) {
+        const isDue = !isAvoided && view.outstanding === 0 && view.failureShare < TRIAL_FAILURE_LIMIT;
         if (isDue && view.heardMs < heardMs) {
             longest = choice;
             ({ heardMs } = view);
@@ -153,16 +146,18 @@
 
 /** Chooses the backend server where the request costs least, or undefined if none may be tried. */
 export const pickBackend = (question: PickQuestion): BackendChoice | undefined => {
-    const near = candidatesOf(question, question.choices.own, true);
-    const trial = pickTrial(question, near.reachable);
+    const near = question.choices.own
+        .filter(({ nodeId }) => !question.tried.has(nodeId))
+        .map((choice) => lookAt(question, choice, true));
+    const trial = pickTrial(question, near);
     if (trial) {
         return trial;
     }
-    const far = drawOthers(question);
-    const reachable = [...near.reachable, ...far.reachable];
+    const candidates = [...near, ...drawOthers(question)];
+    const reachable = candidates.filter((candidate) => !candidate.isHeldBack);
     let best: BackendChoice | undefined;
     let bestMs = Infinity;
-    for (const candidate of reachable.length > 0 ? reachable : [...near.heldBack, ...far.heldBack]) {
+    for (const candidate of reachable.length > 0 ? reachable : candidates) {
         const costMs = costOf(question, candidate);
         if (costMs < bestMs) {
             best = candidate.choice;
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -165,15 +165,15 @@
         onOrder: (order, outcome, elapsedMs) => metrics.countOrder(order, outcome, elapsedMs),
     });
     const readings = (): ControlReadings => {
-        const { appliedIndex, commitIndex, membership: group, role, term } = consensus.status();
+        const { appliedIndex, commitIndex, membership: replicas, role, term } = consensus.status();
         const { configuration, moves: moved } = stateMachine.state;
         return {
             isLeader: role === Role.Leader,
             term,
             commitIndex,
             appliedIndex,
-            voters: group.voters.length,
-            learners: group.learners.length,
+            voters: replicas.voters.length,
+            learners: replicas.learners.length,
             members: membershipChanges.present(membership.present).length,
             configurationVersion: configuration?.version ?? 0,
             runningMoves: [...moved.values()].filter(({ state }) => state === ServiceMoveState.Running).length,
--- a/src/deployment/finishCalls.ts
+++ b/src/deployment/finishCalls.ts
@@ -38,13 +38,14 @@
     const elapsedMs = (): number => clock.monotonicMs() - startedMs;
     const limitMs = graceMs - STOP_RESERVE_MS;
     const acceptMs = Math.min(limitMs, graceMs * STOP_ACCEPT_SHARE);
-    while (elapsedMs() < acceptMs && (elapsedMs() < STOP_NOTICE_MS || calls.active() > 0)) {
-        await pause(STOP_CHECK_MS);
-    }
+    const untilIdle = async (untilMs: number): Promise<void> => {
+        while (elapsedMs() < untilMs && (elapsedMs() < STOP_NOTICE_MS || calls.active() > 0)) {
+            await pause(STOP_CHECK_MS);
+        }
+    };
+    await untilIdle(acceptMs);
     calls.refuseAll();
-    while (elapsedMs() < limitMs && (elapsedMs() < STOP_NOTICE_MS || calls.active() > 0)) {
-        await pause(STOP_CHECK_MS);
-    }
+    await untilIdle(limitMs);
     calls.stopListening();
     do {
         await pause(STOP_CHECK_MS);
--- a/src/transport/acceptConnection.ts
+++ b/src/transport/acceptConnection.ts
@@ -22,7 +22,7 @@
         const connection = new FramedConnection(socket);
         const nonce = randomBytes(NONCE_BYTES).toString("hex");
         const timer = setTimeout(() => connection.close(), TransportLimits.HandshakeTimeoutMs);
-        const finish = (result: FramedConnection | undefined, heartbeatMs = 0): void => {
+        const finish = (result: FramedConnection | undefined, heartbeatMs?: number): void => {
             clearTimeout(timer);
             connection.pause();
             result?.keepAlive(heartbeatPace(heartbeatMs));
--- a/src/transport/openConnection.ts
+++ b/src/transport/openConnection.ts
@@ -29,7 +29,7 @@
         const connection = new FramedConnection(socket);
         const timer = setTimeout(() => connection.close(), TransportLimits.ConnectTimeoutMs);
         const nonce = randomBytes(NONCE_BYTES).toString("hex");
-        const heartbeatMs = heartbeatPace(opener.heartbeatMs ?? TransportLimits.HeartbeatIntervalMs);
+        const heartbeatMs = heartbeatPace(opener.heartbeatMs);
         let nonces: readonly string[] = [];
         const finish = (result: FramedConnection | undefined): void => {
             clearTimeout(timer);
