--- a/src/consensus/ConsensusAction.ts
+++ b/src/consensus/ConsensusAction.ts
@@ -23,4 +23,6 @@
         readonly leaderId: string | undefined;
         readonly reason: string;
     }
+    /** This leader steps down since only these peers responded since the last quorum check. */
+    | { readonly kind: "quorum-lost"; readonly responded: readonly string[]; }
     | { readonly kind: "read-ready"; readonly requestId: string; readonly index: number; };
--- a/src/consensus/ConsensusState.ts
+++ b/src/consensus/ConsensusState.ts
@@ -15,6 +15,11 @@
     /** This replica's own log is known to be synced up to this index. Only a leader uses it, to count its own copy. */
     readonly durableIndex: number;
     readonly commitIndex: number;
+    /**
+     * True once this replica, since its start, knew that its commit index includes all entries that were committed
+     * before: as a leader that committed in its term, or from such a leader.
+     */
+    readonly isConfirmed: boolean;
     readonly votes: readonly string[];
     readonly peers: ReadonlyMap<string, PeerProgress>;
     /** Peers that responded to this leader since the last quorum check. */
--- a/src/consensus/ConsensusTask.ts
+++ b/src/consensus/ConsensusTask.ts
@@ -15,6 +15,7 @@
 import { ProposalOutcome } from "./ProposalOutcome";
 import { ReplicaStore } from "./ReplicaStore";
 import { ReplicaTransport } from "./ReplicaTransport";
+import { responsiveness } from "./responsiveness";
 import { Role } from "./Role";
 import { StateMachine } from "./StateMachine";
 import { step } from "./step";
@@ -37,6 +38,8 @@
     /** A snapshot is taken once this many entries have been applied since the last one. */
     readonly snapshotEveryEntries: number;
     readonly onChange: (status: ConsensusStatus) => void;
+    /** Called when this leader steps down since too few peers responded; `responded` has the ids of those that did. */
+    readonly onQuorumLost?: (responded: readonly string[]) => void;
     /**
      * Called when a step failed, usually because of a disk error. The disk can't be trusted then, so the process must
      * stop.
@@ -94,6 +97,9 @@
             commitIndex: state?.commitIndex ?? 0,
             appliedIndex: this.appliedIndex,
             membership: state ? logOperations.membershipOf(state.log) : this.options.firstMembership,
+            votes: state?.votes ?? [],
+            unresponsiveIds: responsiveness.unresponsiveIds(state?.peers ?? new Map()),
+            isConfirmed: state?.isConfirmed ?? false,
         };
     }
 
@@ -190,6 +196,9 @@
             case "refused":
                 this.settle(action.requestId, { kind: "refused", leaderId: action.leaderId, reason: action.reason });
                 return;
+            case "quorum-lost":
+                this.options.onQuorumLost?.(action.responded);
+                return;
             case "read-ready":
                 this.settle(action.requestId, { kind: "applied", answer: action.index });
                 return;
@@ -286,10 +295,11 @@
             : firstElectionTimeoutMs * (1 + FIRST_ELECTION_SPREAD * random.fraction());
     }
 
-    /** Calls `onChange` if the role, the term, the leader or the applied index has changed. */
+    /** Calls `onChange` if the role, the term, the leader, the applied index or `isConfirmed` has changed. */
     private publishStatus(): void {
         const status = this.status();
-        const key = `${status.role}/${status.term}/${status.leaderId}/${status.appliedIndex}`;
+        const { appliedIndex, isConfirmed, leaderId, role, term } = status;
+        const key = `${role}/${term}/${leaderId}/${appliedIndex}/${isConfirmed}`;
         if (key !== this.lastStatusKey) {
             this.lastStatusKey = key;
             this.options.onChange(status);
--- a/src/consensus/PeerProgress.ts
+++ b/src/consensus/PeerProgress.ts
@@ -8,4 +8,6 @@
     readonly answeredRound: number;
     /** True until a sent snapshot is acknowledged. A quorum check clears it, so that a lost snapshot is sent again. */
     readonly snapshotPending: boolean;
+    /** Quorum checks in a row that passed without a response from the peer; see `responsiveness`. */
+    readonly missedChecks: number;
 };
--- a/src/consensus/createInitialState.ts
+++ b/src/consensus/createInitialState.ts
@@ -21,6 +21,7 @@
     log,
     durableIndex: logOperations.lastIndex(log),
     commitIndex: log.snapshotIndex,
+    isConfirmed: false,
     votes: [],
     peers: new Map(),
     contacts: [],
--- a/src/consensus/followerHandlers.ts
+++ b/src/consensus/followerHandlers.ts
@@ -1,4 +1,5 @@
 import { ConsensusMessage } from "./ConsensusMessage";
+import { hasCommittedInTerm } from "./hasCommittedInTerm";
 import { LogEntry } from "./LogEntry";
 import { logOperations } from "./logOperations";
 import { Role } from "./Role";
@@ -60,6 +61,9 @@
     storeEntries(context, entries);
     const matchIndex = previousIndex + entries.length;
     commitUpTo(context, Math.min(request.commitIndex, matchIndex));
+    if (request.commitIndex <= matchIndex && hasCommittedInTerm(context.state)) {
+        context.update({ isConfirmed: true });
+    }
     respond(context, from, true, matchIndex, round);
 };
 
--- a/src/consensus/leaderHandlers.ts
+++ b/src/consensus/leaderHandlers.ts
@@ -1,8 +1,10 @@
 import { ConsensusMessage } from "./ConsensusMessage";
+import { hasCommittedInTerm } from "./hasCommittedInTerm";
 import { logOperations } from "./logOperations";
 import { Membership } from "./Membership";
 import { MembershipChange } from "./MembershipChange";
 import { replication } from "./replication";
+import { responsiveness } from "./responsiveness";
 import { Role } from "./Role";
 import { roleTransitions } from "./roleTransitions";
 import { StepContext } from "./StepContext";
@@ -13,11 +15,6 @@
     context.addAction({ kind: "refused", requestId, leaderId: context.state.leaderId, reason });
 };
 
-const hasCommittedInTerm = (context: StepContext): boolean => {
-    const { commitIndex, log, term } = context.state;
-    return logOperations.termAt(log, commitIndex) === term;
-};
-
 const completeConfirmedReads = (context: StepContext): void => {
     const { id, peers, pendingReads } = context.state;
     const isConfirmed = (round: number): boolean => {
@@ -100,7 +97,7 @@
 const membershipChangeRefusal = (context: StepContext, change: MembershipChange): string | undefined => {
     const { commitIndex, log, peers } = context.state;
     const { learners, voters } = context.membership;
-    if (logOperations.lastMembershipIndex(log) > commitIndex || !hasCommittedInTerm(context)) {
+    if (logOperations.lastMembershipIndex(log) > commitIndex || !hasCommittedInTerm(context.state)) {
         return "another change is still being committed; retry shortly";
     }
     const isVoter = voters.some(({ id }) => id === change.id);
@@ -136,7 +133,7 @@
 };
 
 const onRead = (context: StepContext, requestId: string): void => {
-    if (context.state.role !== Role.Leader || !hasCommittedInTerm(context)) {
+    if (context.state.role !== Role.Leader || !hasCommittedInTerm(context.state)) {
         refuse(context, requestId, "not the leader");
         return;
     }
@@ -162,10 +159,11 @@
         return;
     }
     if (!context.hasQuorum(context.membership, new Set([id, ...contacts]))) {
+        context.addAction({ kind: "quorum-lost", responded: contacts });
         roleTransitions.becomeFollower(context, term, undefined);
         return;
     }
-    const updatedPeers = [...peers].map(([peerId, progress]) =>
+    const updatedPeers = [...responsiveness.afterQuorumCheck(peers, contacts)].map(([peerId, progress]) =>
         [peerId, { ...progress, snapshotPending: false }] as const
     );
     context.update({ contacts: [], peers: new Map(updatedPeers) });
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -70,6 +70,7 @@
         matchIndex: 0,
         answeredRound: 0,
         snapshotPending: false,
+        missedChecks: 0,
     };
     context.update({ peers: new Map(context.peerIds.map((id) => [id, currentPeers.get(id) ?? initialProgress])) });
 };
@@ -103,7 +104,7 @@
             return;
         }
         if (isReplicated(context, index)) {
-            context.update({ commitIndex: index });
+            context.update({ commitIndex: index, isConfirmed: true });
             context.addAction({ kind: "committed", index });
             return;
         }
--- a/src/consensus/roleTransitions.ts
+++ b/src/consensus/roleTransitions.ts
@@ -54,6 +54,7 @@
         matchIndex: 0,
         answeredRound: 0,
         snapshotPending: false,
+        missedChecks: 0,
     };
     context.update({
         role: Role.Leader,
--- a/src/control/PeerReplicaTransport.ts
+++ b/src/control/PeerReplicaTransport.ts
@@ -22,6 +22,8 @@
         private readonly ownId: string,
         private readonly network: PeerNetwork,
         private readonly receive: (from: string, message: ConsensusMessage) => void,
+        /** Called when the replica at a member's address proved another id than that member's. */
+        private readonly onUnexpectedPeer: (memberId: string, peerId: string) => void,
     ) {
         super();
         network.handle(Channel.Consensus, {
@@ -63,7 +65,12 @@
             return;
         }
         const onMessage = (body: unknown): void => this.receive(id, body as ConsensusMessage);
-        this.links.set(id, this.network.open(Channel.Consensus, address, { onMessage }));
+        const onOpen = (peerId: string): void => {
+            if (peerId !== id) {
+                this.onUnexpectedPeer(id, peerId);
+            }
+        };
+        this.links.set(id, this.network.open(Channel.Consensus, address, { onMessage, onOpen }));
         this.addresses.set(id, addressText);
     }
 }
--- a/src/control/createControl.ts
+++ b/src/control/createControl.ts
@@ -21,6 +21,7 @@
 import { AdminServer } from "./AdminServer";
 import { AdminService } from "./AdminService";
 import { ControlSettings } from "./ControlSettings";
+import { createRoleLogger } from "./createRoleLogger";
 import { describeStatus } from "./describeStatus";
 import { LeaderReportTask } from "./LeaderReportTask";
 import { logCommand } from "./logCommand";
@@ -86,17 +87,14 @@
         const leader = [...voters, ...learners].find(({ id }) => id === status.leaderId);
         leaderReports.setLeaderAddress(leader && leader.id !== settings.id ? leader.address : undefined);
         rolloutTask.setLeading(status.role === Role.Leader);
-        const roleKey = `${status.role}/${status.term}/${status.leaderId}`;
-        if (roleKey !== lastRoleKey) {
-            lastRoleKey = roleKey;
-            log.info("role-changed", { role: status.role, term: status.term, leader: status.leaderId });
-        }
+        logRole(status);
     };
-    let lastRoleKey = "";
+    const logRole = createRoleLogger(log);
     const transport = new PeerReplicaTransport(
         settings.id,
         network,
         (from, message) => consensus.receive(from, message),
+        (member, peer) => log.warn("unexpected-peer", { member, peer }),
     );
     const { electionTimeoutMs } = settings;
     const consensus: ConsensusTask = resources.add(
@@ -114,6 +112,7 @@
             random,
             snapshotEveryEntries: settings.snapshotEvery,
             onChange,
+            onQuorumLost: (responded) => log.warn("quorum-lost", { responded: responded.join(",") }),
             onFailure: (error) => {
                 log.error("disk-failed", { reason: error.message });
                 onFatal(error);
--- a/src/deployment/ControlMetrics.ts
+++ b/src/deployment/ControlMetrics.ts
@@ -46,6 +46,16 @@
         this.gauge("control_applied_index", "Last entry that was carried out here", () => read()?.appliedIndex);
         this.gauge("control_voters", "Voting replicas of the group", () => read()?.voters);
         this.gauge("control_learners", "Replicas that follow without a vote", () => read()?.learners);
+        this.gauge(
+            "control_unresponsive_members",
+            "Members of the group that stopped responding to this leader",
+            () => read()?.unresponsiveMembers,
+        );
+        this.gauge(
+            "control_state_confirmed",
+            "1 once a leader has confirmed the state since the start",
+            () => this.toGaugeValue(read()?.isStateConfirmed),
+        );
         this.gauge("control_members", "Processes of the mesh believed to be present", () => read()?.members);
         this.gauge("configuration_version", "Version of the newest configuration", () => read()?.configurationVersion);
         this.gauge("running_moves", "Moves between versions in progress", () => read()?.runningRollouts);
--- a/src/deployment/ControlReadings.ts
+++ b/src/deployment/ControlReadings.ts
@@ -9,6 +9,10 @@
     readonly voters: number;
     /** Non-voting replicas. */
     readonly learners: number;
+    /** Members of the group that stopped responding to this replica; 0 unless it leads. */
+    readonly unresponsiveMembers: number;
+    /** Whether a leader confirmed, since the start, that the state of this replica is not that of an old disk. */
+    readonly isStateConfirmed: boolean;
     /** Processes of the mesh that are not known to have failed or left. */
     readonly members: number;
     /** 0 before the first configuration. */
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -3,6 +3,7 @@
 import { FileReplicaStore } from "../consensus/FileReplicaStore";
 import { Membership } from "../consensus/Membership";
 import { Role } from "../consensus/Role";
+import { createRoleLogger } from "../control/createRoleLogger";
 import { PeerReplicaTransport } from "../control/PeerReplicaTransport";
 import { Disposable } from "../core/Disposable";
 import { EventLog } from "../core/EventLog";
@@ -81,19 +82,22 @@
         log.info("deployment-changed", { revision, configurationVersion: configuration?.version });
     });
 
-    let lastRoleKey = "";
-    const onChange = ({ leaderId, role, term }: ConsensusStatus): void => {
-        rolloutTask.setLeading(role === Role.Leader);
-        const roleKey = `${role}/${term}/${leaderId}`;
-        if (roleKey !== lastRoleKey) {
-            lastRoleKey = roleKey;
-            log.info("role-changed", { role, term, leader: leaderId });
+    const logRole = createRoleLogger(log);
+    let wasConfirmed = false;
+    const onChange = (status: ConsensusStatus): void => {
+        rolloutTask.setLeading(status.role === Role.Leader);
+        logRole(status);
+        if (status.isConfirmed && !wasConfirmed) {
+            wasConfirmed = true;
+            const { configuration, revision } = stateMachine.state;
+            log.info("state-confirmed", { revision, configurationVersion: configuration?.version, term: status.term });
         }
     };
     const transport = new PeerReplicaTransport(
         replicaId,
         network,
         (from, message) => consensus.receive(from, message),
+        (member, peer) => log.warn("unexpected-peer", { member, peer }),
     );
     const consensus: ConsensusTask = resources.add(
         new ConsensusTask({
@@ -111,6 +115,7 @@
             random,
             snapshotEveryEntries: SNAPSHOT_INTERVAL_ENTRIES,
             onChange,
+            onQuorumLost: (responded) => log.warn("quorum-lost", { responded: responded.join(",") }),
             onFailure: (error) => {
                 log.error("disk-failed", { reason: error.message });
                 onDiskFailure(error);
@@ -168,7 +173,8 @@
             metrics.countOperatorRequest(operation, outcome, elapsedMs),
     });
     const readings = (): ControlReadings => {
-        const { appliedIndex, commitIndex, membership: groupMembership, role, term } = consensus.status();
+        const { appliedIndex, commitIndex, isConfirmed, membership: groupMembership, role, term, unresponsiveIds } =
+            consensus.status();
         const { configuration, moves: serviceRollouts } = stateMachine.state;
         return {
             isLeader: role === Role.Leader,
@@ -177,6 +183,8 @@
             appliedIndex,
             voters: groupMembership.voters.length,
             learners: groupMembership.learners.length,
+            unresponsiveMembers: unresponsiveIds.length,
+            isStateConfirmed: isConfirmed,
             members: membershipOperations.presentMembers(membership.current).length,
             configurationVersion: configuration?.version ?? 0,
             runningRollouts:
