--- a/src/consensus/__tests__/step.test.ts
+++ b/src/consensus/__tests__/step.test.ts
@@ -1,6 +1,8 @@
 import { ConsensusInput } from "../ConsensusInput";
 import { ConsensusState } from "../ConsensusState";
 import { createInitialState } from "../createInitialState";
+import { LogEntry } from "../LogEntry";
+import { logOperations } from "../logOperations";
 import { Membership } from "../Membership";
 import { Role } from "../Role";
 import { step } from "../step";
@@ -43,3 +45,42 @@
         expect(advance(newLeader(), [quorumCheck, quorumCheck]).role).toBe(Role.Follower);
     });
 });
+
+describe("a snapshot", () => {
+    const entry = (index: number): LogEntry => ({ index, term: 1, payload: { kind: "command", command: index } });
+    const append: ConsensusInput = {
+        kind: "receive",
+        from: "a",
+        message: {
+            kind: "append-request",
+            term: 1,
+            previousIndex: 0,
+            previousTerm: 0,
+            entries: [entry(1), entry(2), entry(3)],
+            commitIndex: 0,
+            round: 1,
+        },
+    };
+    const lateSnapshot: ConsensusInput = {
+        kind: "receive",
+        from: "a",
+        message: { kind: "snapshot-request", term: 1, index: 2, snapshotTerm: 1, membership, round: 1 },
+    };
+
+    // Guards against the loss of an accepted configuration: an acknowledged entry was discarded with the log.
+    test("that arrives late does not discard the acknowledged entries after it", () => {
+        const follower = advance(newReplica("b"), [append, lateSnapshot]);
+        expect(logOperations.lastIndex(follower.log)).toBe(3);
+        expect(follower.commitIndex).toBe(2);
+    });
+
+    test("replaces a log that differs from it", () => {
+        const conflicting: ConsensusInput = {
+            ...lateSnapshot,
+            message: { kind: "snapshot-request", term: 2, index: 2, snapshotTerm: 2, membership, round: 1 },
+        };
+        const follower = advance(newReplica("b"), [append, conflicting]);
+        expect(logOperations.lastIndex(follower.log)).toBe(2);
+        expect(logOperations.lastTerm(follower.log)).toBe(2);
+    });
+});
--- a/src/consensus/followerHandlers.ts
+++ b/src/consensus/followerHandlers.ts
@@ -74,6 +74,11 @@
         return;
     }
     followLeader(context, from);
+    // A log that agrees with the snapshot at its index holds all of it, and may hold entries after it that this replica
+    // has acknowledged.
+    if (logOperations.termAt(context.state.log, index) === snapshotTerm) {
+        commitUpTo(context, index);
+    }
     if (index <= context.state.commitIndex) {
         respond(context, from, true, index, round);
         return;
--- a/src/model/__tests__/groupModel.test.ts
+++ b/src/model/__tests__/groupModel.test.ts
@@ -12,7 +12,7 @@
 import { ModelState } from "../ModelState";
 import { ProtocolStep } from "../ProtocolStep";
 
-const RUNS = 250;
+const RUNS = 1_000;
 const EVENTS_PER_RUN = 900;
 const SEED = 20_261_204;
 const MAXIMUM_MESSAGES = 30;
