Accept consensus messages only from the replica that proved the member's id

What callers see: after the loss of a disk, an accepted configuration could be lost or a leader elected that commits nothing. Cause: messages on a link that was opened for a member were taken as that member's, whichever replica answered at its address. A replica that lost its disk has a new id, since it lost its votes and entries; it voted for its previous id. Change: a link sends and delivers messages only while its peer's proved id is that of the member.

--- a/src/control/PeerReplicaTransport.ts
+++ b/src/control/PeerReplicaTransport.ts
@@ -11,7 +11,10 @@
     readonly send: (message: unknown) => number;
 };
 
-/** Sends and receives consensus messages over one link to each of the other replicas. */
+/**
+ * Sends and receives consensus messages over one link to each of the other replicas. A replica that lost its disk returns
+ * at the same address with a new id: a link carries messages only while its peer proved the id of the member.
+ */
 export class PeerReplicaTransport extends ReplicaTransport {
     private readonly links = new Map<string, Link>();
     private readonly addresses = new Map<string, string>();
@@ -40,7 +43,8 @@
     }
 
     public override send(to: string, message: ConsensusMessage): void {
-        const sentBytes = this.links.get(to)?.send(message) ?? 0;
+        const link = this.links.get(to);
+        const sentBytes = link?.peerIdentity() === to ? link.send(message) : 0;
         if (sentBytes === 0) {
             this.replyLinks.get(to)?.send(message);
         }
@@ -64,13 +68,18 @@
         if (this.links.has(id) || !address) {
             return;
         }
-        const onMessage = (body: unknown): void => this.receive(id, body as ConsensusMessage);
+        const onMessage = (body: unknown): void => {
+            if (link.peerIdentity() === id) {
+                this.receive(id, body as ConsensusMessage);
+            }
+        };
         const onOpen = (peerId: string): void => {
             if (peerId !== id) {
                 this.onUnexpectedPeer(id, peerId);
             }
         };
-        this.links.set(id, this.network.open(Channel.Consensus, address, { onMessage, onOpen }));
+        const link = this.network.open(Channel.Consensus, address, { onMessage, onOpen });
+        this.links.set(id, link);
         this.addresses.set(id, addressText);
     }
 }
--- a/src/control/__tests__/PeerReplicaTransport.test.ts
+++ b/src/control/__tests__/PeerReplicaTransport.test.ts
@@ -50,8 +50,8 @@
 const voteRequest: ConsensusMessage = { kind: "vote-request", term: 2, lastIndex: 0, lastTerm: 0 };
 
 describe("PeerReplicaTransport", () => {
-    // Guards against inc1 and inc2: a replica that had lost its disk voted in place of its previous id. KNOWN-RED 20.
-    test.failing("exchanges no messages with a replica that has another id than the member at its address", async () => {
+    // Guards against inc1 and inc2: a replica that had lost its disk voted in place of its previous id.
+    test("exchanges no messages with a replica that has another id than the member at its address", async () => {
         const returned = await startVoter("b#2");
         const other = await startVoter("c");
         const members = [{ id: "b#1", address: returned.address }, { id: "c", address: other.address }];
