Remove replicas on hosts that were replaced from the control group

Cause: a replica on a new host becomes a voter, and the one on the host that it replaces stays one for ever. After two replacements four of six voters are needed and four exist. Change: the leader removes a voter that missed four quorum checks if the number of voters is even, and such learners always. A replica that was removed while it was cut off knows no leader, and joins again. Why this works: every majority of 2n voters contains a majority of any 2n - 1 of them, so the removal never makes one harder to reach; after each replacement the number of voters is back where it was.

--- a/src/deployment/__tests__/group.test.ts
+++ b/src/deployment/__tests__/group.test.ts
@@ -1,7 +1,9 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { majorityOfVoters } from "../../consensus/majorityOfVoters";
 import { nextGroupChange } from "../nextGroupChange";
+import { nextRemoval } from "../nextRemoval";
 import { readReplicaIdentity } from "../readReplicaIdentity";
 
 const replica = (id: string, address = id) => ({ id, address });
@@ -26,6 +28,39 @@
     });
 });
 
+describe("a member that stopped responding", () => {
+    const four = [...voters, replica("10.0.0.4:7#aa", "10.0.0.4:7")];
+
+    test("is removed from an even number of voters", () => {
+        expect(nextRemoval({ voters: four, learners: [] }, ["10.0.0.3:7"])).toEqual({
+            kind: "remove",
+            id: "10.0.0.3:7",
+        });
+        expect(nextRemoval({ voters: four, learners: [] }, [])).toBeUndefined();
+    });
+
+    test("stays in an odd number of voters, where its return could complete a majority", () => {
+        expect(nextRemoval({ voters, learners: [] }, ["10.0.0.3:7"])).toBeUndefined();
+    });
+
+    test("is removed in any case if it is a learner", () => {
+        const learner = replica("10.0.0.5:7#aa", "10.0.0.5:7");
+        expect(nextRemoval({ voters, learners: [learner] }, [learner.id])).toEqual({ kind: "remove", id: learner.id });
+    });
+
+    test("leaves a majority wherever there was one, whichever replicas remain", () => {
+        const membership = { voters: four, learners: [] };
+        const remaining = { voters: four.slice(1), learners: [] };
+        expect(nextRemoval(membership, [four[0].id])).toEqual({ kind: "remove", id: four[0].id });
+        for (let subset = 0; subset < 1 << four.length; subset += 1) {
+            const running = new Set(four.filter((_, index) => subset & (1 << index)).map(({ id }) => id));
+            if (majorityOfVoters(membership, running)) {
+                expect(majorityOfVoters(remaining, running)).toBe(true);
+            }
+        }
+    });
+});
+
 describe("the identity of a replica", () => {
     let folder = "";
     beforeEach(async () => {
--- a/src/model/__tests__/groupModel.test.ts
+++ b/src/model/__tests__/groupModel.test.ts
@@ -4,6 +4,7 @@
 import { Role } from "../../consensus/Role";
 import { step } from "../../consensus/step";
 import { nextGroupChange } from "../../deployment/nextGroupChange";
+import { nextRemoval } from "../../deployment/nextRemoval";
 import { advanceModel } from "../advanceModel";
 import { createModel } from "../createModel";
 import { createModelReplica } from "../createModelReplica";
@@ -17,12 +18,15 @@
 const SEED = 20_261_204;
 const MAXIMUM_MESSAGES = 30;
 
-/** One choice in this many is a join request or the loss of a disk. The others are events of the model. */
+/**
+ * One choice in this many is a join request, the loss of a disk or the removal of a replica. The others are events of
+ * the model.
+ */
 const CHOICES_PER_JOIN = 6;
 const CHOICES_PER_DISK_LOSS = 41;
+const CHOICES_PER_REMOVAL = 23;
 
 const founders = ["a", "b", "c"];
-const hosts = [...founders, "d"];
 
 const budget = {
     ...emptyBudget,
@@ -81,22 +85,42 @@
 };
 
 /**
- * Returns whether the voters of a committed membership are exactly the running replicas. Only then may a disk be lost:
- * until its replica has joined again, the group tolerates no second loss.
+ * The leader proposes to remove a replica as unresponsive. Any replica may be: it is removed while it still runs and
+ * sends messages, and joins again later.
+ */
+const removeUnresponsive = (model: ModelState, choice: number): ModelState => {
+    const leader = leaderOf(model);
+    if (!leader) {
+        return model;
+    }
+    const others = [...model.replicas.keys()].filter((id) => id !== leader);
+    const change = nextRemoval(membershipAt(model, leader), [others[choice % others.length]]);
+    return change
+        ? advanceModel(
+            model,
+            { nodeId: leader, input: { kind: "change-membership", requestId: "m", change } },
+            protocolStep,
+        )
+        : model;
+};
+
+/**
+ * Returns whether all voters of a committed membership run, and there are enough to lose one. Only then may a disk be
+ * lost: until its replica has been replaced, the group tolerates no second loss.
  */
-const isFullyJoined = (model: ModelState): boolean => {
+const mayLoseDisk = (model: ModelState): boolean => {
     const leader = leaderOf(model);
     const state = leader === undefined ? undefined : model.replicas.get(leader)?.state;
     if (leader === undefined || !state || logOperations.lastMembershipIndex(state.log) > state.commitIndex) {
         return false;
     }
     const voters = membershipAt(model, leader).voters.map(({ id }) => id);
-    return voters.length === hosts.length && [...model.replicas.keys()].every((id) => voters.includes(id));
+    return voters.length >= founders.length && voters.every((id) => model.replicas.has(id));
 };
 
 /** A replica loses its disk and restarts with an empty one, under the id that `idAfterLoss` returns. */
 const loseDisk = (model: ModelState, choice: number, idAfterLoss: (id: string) => string): ModelState => {
-    if (!isFullyJoined(model)) {
+    if (!mayLoseDisk(model)) {
         return model;
     }
     const ids = [...model.replicas.keys()];
@@ -116,6 +140,9 @@
     if (choice % CHOICES_PER_DISK_LOSS === 0) {
         return loseDisk(model, choice, idAfterLoss);
     }
+    if (choice % CHOICES_PER_REMOVAL === 0) {
+        return removeUnresponsive(model, choice);
+    }
     if (choice % CHOICES_PER_JOIN === 0) {
         return requestJoin(model, choice);
     }
@@ -123,20 +150,22 @@
     return events.length === 0 ? model : advanceModel(model, events[choice % events.length], protocolStep);
 };
 
-/** Runs the group by the choices. Returns the first violation, if any, and the number of disks lost. */
+/** Runs the group by the choices. Returns the first violation, if any, and the numbers of disks lost and removals. */
 const run = (choices: readonly number[], idAfterLoss: (id: string) => string) => {
     let model = createInitialGroup();
     let losses = 0;
+    let removals = 0;
     for (const choice of choices) {
-        const lostBefore = model.lost.size;
+        const previous = model;
         model = advance(model, choice, idAfterLoss);
-        losses += model.lost.size > lostBefore ? 1 : 0;
+        losses += model.lost.size > previous.lost.size ? 1 : 0;
+        removals += choice % CHOICES_PER_REMOVAL === 0 && model !== previous ? 1 : 0;
         if (model.violation) {
-            return { violation: model.violation, losses };
+            return { violation: model.violation, losses, removals };
         }
         model = { ...model, network: model.network.slice(-MAXIMUM_MESSAGES) };
     }
-    return { violation: undefined, losses };
+    return { violation: undefined, losses, removals };
 };
 
 const choices = fc.array(fc.nat(), { minLength: EVENTS_PER_RUN, maxLength: EVENTS_PER_RUN });
@@ -145,18 +174,21 @@
 const newId = (id: string): string => `${addressOf(id)}#${Number(id.split("#")[1] ?? 0) + 1}`;
 
 describe("long random runs of a group that forms from three founders", () => {
-    test("keep committed entries while disks are lost one at a time and replicas join", () => {
+    test("keep committed entries while disks are lost one at a time and replicas join and are removed", () => {
         let losses = 0;
+        let removals = 0;
         fc.assert(
             fc.property(choices, (runChoices) => {
                 const result = run(runChoices, newId);
                 expect(result.violation).toBeUndefined();
                 losses += result.losses;
+                removals += result.removals;
             }),
             { seed: SEED, numRuns: RUNS, endOnFailure: true },
         );
-        // Unless disks were lost, the property would hold trivially.
+        // Unless disks were lost and replicas removed, the property would hold trivially.
         expect(losses).toBeGreaterThan(RUNS / 5);
+        expect(removals).toBeGreaterThan(RUNS / 5);
     });
 
     test("violate an invariant if a replica keeps its id after the loss of its disk", () => {
