--- a/src/consensus/__tests__/step.test.ts
+++ b/src/consensus/__tests__/step.test.ts
@@ -84,3 +84,47 @@
         expect(logOperations.lastTerm(follower.log)).toBe(2);
     });
 });
+
+describe("a restarted replica", () => {
+    /** Replica b with a snapshot at index 5 of term 1 and two entries after it; it led or followed in term 1. */
+    const restarted = createInitialState({
+        id: "b",
+        term: 1,
+        votedFor: undefined,
+        log: {
+            snapshotIndex: 5,
+            snapshotTerm: 1,
+            snapshotMembership: membership,
+            entries: [6, 7].map((index) => ({ index, term: 1, payload: { kind: "command", command: index } })),
+        },
+    });
+
+    const heartbeat = (term: number, previousIndex: number, previousTerm: number, commitIndex: number) =>
+        ({
+            kind: "receive",
+            from: "a",
+            message: {
+                kind: "append-request",
+                term,
+                previousIndex,
+                previousTerm,
+                entries: [],
+                commitIndex,
+                round: 1,
+            },
+        }) satisfies ConsensusInput;
+
+    test("is confirmed once it holds what a leader has committed in its term", () => {
+        expect(restarted.isConfirmed).toBe(false);
+        expect(advance(restarted, [heartbeat(1, 7, 1, 7)])).toMatchObject({ isConfirmed: true, commitIndex: 7 });
+    });
+
+    test("is not confirmed while its log ends before the leader's commit index", () => {
+        expect(advance(restarted, [heartbeat(1, 9, 1, 9)]).isConfirmed).toBe(false);
+        expect(advance(restarted, [heartbeat(1, 7, 1, 9)]).isConfirmed).toBe(false);
+    });
+
+    test("is not confirmed by a leader that has committed nothing in its term", () => {
+        expect(advance(restarted, [heartbeat(2, 7, 1, 5)]).isConfirmed).toBe(false);
+    });
+});
--- a/src/control/createControl.ts
+++ b/src/control/createControl.ts
@@ -75,19 +75,30 @@
         );
         parent.publish({ sourceRevision: revision, resources: new Map(serviceResources), contents });
     };
+    // A state that no leader has confirmed since the start may be older than one that nodes had before.
+    const publishIfConfirmed = (): void => {
+        if (consensus.status().isConfirmed) {
+            publish(stateMachine.state);
+        }
+    };
     const stateMachine = new CatalogueStateMachine((state, command) => {
-        publish(state);
+        publishIfConfirmed();
         if (command) {
             logCommand(log, state, command);
         }
     });
 
+    let wasConfirmed = false;
     const onChange = (status: ConsensusStatus): void => {
         const { learners, voters } = status.membership;
         const leader = [...voters, ...learners].find(({ id }) => id === status.leaderId);
         leaderReports.setLeaderAddress(leader && leader.id !== settings.id ? leader.address : undefined);
         rolloutTask.setLeading(status.role === Role.Leader);
         logRole(status);
+        if (status.isConfirmed && !wasConfirmed) {
+            wasConfirmed = true;
+            publishIfConfirmed();
+        }
     };
     const logRole = createRoleLogger(log);
     const transport = new PeerReplicaTransport(
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -76,8 +76,14 @@
     });
 
     const publisher = new ConfigurationPublisher(network, (statistics) => rolloutTask.addStatistics(statistics));
+    // A state that no leader has confirmed since the start may be older than one that nodes had before.
+    const publishIfConfirmed = (): void => {
+        if (consensus.status().isConfirmed) {
+            publisher.publish(stateMachine.state);
+        }
+    };
     const stateMachine = new DeploymentStateMachine((state) => {
-        publisher.publish(state);
+        publishIfConfirmed();
         const { configuration, revision } = state;
         log.info("deployment-changed", { revision, configurationVersion: configuration?.version });
     });
@@ -89,6 +95,7 @@
         logRole(status);
         if (status.isConfirmed && !wasConfirmed) {
             wasConfirmed = true;
+            publishIfConfirmed();
             const { configuration, revision } = stateMachine.state;
             log.info("state-confirmed", { revision, configurationVersion: configuration?.version, term: status.term });
         }
