Log and count the limits and leavings that backend servers state

Change: the headers of each response are read on the backend server's host; backend-notice and a metric tell what it states. No decision changes.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -2,12 +2,17 @@
 import { Disposable } from "../core/Disposable";
 import { parseAddress } from "../transport/parseAddress";
 import { BackendConnection } from "./BackendConnection";
+import { BackendNotice } from "./BackendNotice";
 import { CallRequest } from "./CallRequest";
 import { CallResponse } from "./CallResponse";
 import { CallResult } from "./CallResult";
 import { connectionHeaders } from "./connectionHeaders";
 import { findHeader } from "./findHeader";
 import { HeaderNames } from "./HeaderNames";
+import { readBackendNotice } from "./readBackendNotice";
+
+/** The response of an instance to a request for another one. */
+const MISDIRECTED_STATUS = 421;
 
 const headerLines = (headers: readonly string[]): string => {
     let lines = "";
@@ -24,7 +29,11 @@
     private readonly connections = new Set<BackendConnection>();
     private openedCount = 0;
 
-    public constructor(private readonly names: HeaderNames) {}
+    /** @param onNotice is called with what each response states about the backend server */
+    public constructor(
+        private readonly names: HeaderNames,
+        private readonly onNotice: (instanceId: string, notice: BackendNotice) => void,
+    ) {}
 
     /** Connections opened since the start, for the metrics. */
     public get openedConnections(): number {
@@ -60,6 +69,9 @@
         signal.removeEventListener("abort", onAbort);
         switch (result.kind) {
             case "answered":
+                if (result.answer.status !== MISDIRECTED_STATUS) {
+                    this.onNotice(request.instanceId, readBackendNotice(result.answer.headers, this.names));
+                }
                 return this.classify(result.answer);
             case "unreachable":
                 return { kind: "not-run", reason: "unreachable", retryAfterMs: 0 };
@@ -132,7 +144,7 @@
      */
     private classify(response: CallResponse): CallResult {
         const { headers, status } = response;
-        if (hasHeader(headers, this.names.notExecuted) || status === 421) {
+        if (hasHeader(headers, this.names.notExecuted) || status === MISDIRECTED_STATUS) {
             return { kind: "not-run", reason: "shed", retryAfterMs: 0 };
         }
         const mayClaimNotRun = status === 408 || status === 429 || status === 503;
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -1,6 +1,7 @@
 import { Clock } from "../core/Clock";
 import { BackendClient } from "./BackendClient";
 import { BackendLoad } from "./BackendLoad";
+import { BackendNotice } from "./BackendNotice";
 import { CallRequest } from "./CallRequest";
 import { CallResult } from "./CallResult";
 import { isServerError } from "./isServerError";
@@ -13,6 +14,8 @@
     readonly client: BackendClient;
     /** For how long a backend server that is draining still gets requests, in ms since it announced that. */
     readonly drainGraceMs: number;
+    /** Called when the backend server states a limit or a leaving that differs from what it stated before. */
+    readonly onNotice: (instance: LocalInstance, notice: BackendNotice) => void;
     /** Called for each request that did not end with a response. */
     readonly onNotServed: (request: CallRequest, result: CallResult, details: QueueDetails) => void;
 };
@@ -47,6 +50,8 @@
 const expired: CallResult = { kind: "not-run", reason: "expired", retryAfterMs: 0 };
 const instanceAbsent: CallResult = { kind: "not-run", reason: "not-here", retryAfterMs: 0 };
 
+const nothingStated: BackendNotice = { limitPerSecond: undefined, isLeaving: false };
+
 const noRoom = (retryAfterMs: number): CallResult => ({ kind: "not-run", reason: "no-room", retryAfterMs });
 
 /** Receives requests for the backend server of this host and limits how many run there at a time to its slots. */
@@ -54,6 +59,7 @@
     private readonly waiting = new Map<number, WaitingCall>();
     private readonly activeByNode = new Map<string, number>();
     private instance: LocalInstance | undefined;
+    private notice = nothingStated;
     private queue = slotQueue.create(1);
     private failureShare = 0;
     private lastKey = 0;
@@ -78,12 +84,30 @@
         const isNewStart = instance?.id !== this.instance?.id || instance?.bornMs !== this.instance?.bornMs;
         if (isNewStart) {
             this.failureShare = 0;
+            this.notice = nothingStated;
             this.options.client.closeIdle();
         }
         this.instance = instance;
         this.applyProgress(slotQueue.advance(slotQueue.resize(this.queue, instance?.slots ?? 1), this.nowMs()));
     }
 
+    /** The limit that the backend server last stated, in requests a second. */
+    public get limitPerSecond(): number | undefined {
+        return this.notice.limitPerSecond;
+    }
+
+    /** Records what a response of the backend server stated. */
+    public applyNotice(instanceId: string, notice: BackendNotice): void {
+        const { instance, notice: previous } = this;
+        if (!instance || instance.id !== instanceId) {
+            return;
+        }
+        this.notice = notice;
+        if (notice.limitPerSecond !== previous.limitPerSecond || notice.isLeaving !== previous.isLeaving) {
+            this.options.onNotice(instance, notice);
+        }
+    }
+
     /** Runs a request here, or refuses it; a refused request never runs. */
     public async receive(from: string, request: CallRequest, signal: AbortSignal): Promise<CallResult> {
         const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal };
--- a/src/calls/HeaderNames.ts
+++ b/src/calls/HeaderNames.ts
@@ -9,6 +9,10 @@
     readonly notExecuted: string;
     /** In responses: the backend server's signature. */
     readonly signature: string;
+    /** In responses: the requests a second that the backend server takes. */
+    readonly requestLimit: string;
+    /** In responses: "1" if the backend server is about to stop. */
+    readonly leaving: string;
     /** The service of the host on which the caller runs. */
     readonly callerService: string;
 };
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -11,6 +11,8 @@
     expectedInstance: "expected",
     notExecuted: "x-not-run",
     signature: "signature",
+    requestLimit: "limit",
+    leaving: "leaving",
     callerService: "caller",
 };
 
@@ -26,11 +28,13 @@
     let address = "";
     let received: string[] = [];
     let connections = 0;
+    let notices: unknown[] = [];
     /** What the backend server does with each request; `count` is 1 for the first. */
     let behave: (socket: Socket, text: string, count: number) => void;
 
     beforeEach(async () => {
         received = [];
+        notices = [];
         connections = 0;
         server = createServer((socket) => {
             connections += 1;
@@ -43,7 +47,7 @@
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
         const bound = server.address();
         address = `127.0.0.1:${typeof bound === "object" && bound ? bound.port : 0}`;
-        client = new BackendClient(names);
+        client = new BackendClient(names, (instanceId, notice) => notices.push({ instanceId, ...notice }));
     });
     afterEach(async () => {
         client.dispose();
@@ -65,6 +69,26 @@
         expect(received[0]).toContain("caller: tree-survey\r\n");
     });
 
+    test("reports the limit and the leaving that a response states, also if the request did not run", async () => {
+        const extras = ["Limit: 9.5\r\n", "Limit: few\r\nLeaving: 1\r\n", "X-Not-Run: 1\r\nLimit: 0\r\n", ""];
+        behave = (socket, _text, count) => socket.write(response(`r${count}`, "tile", extras[count - 1]));
+        for (const count of [1, 2, 3, 4]) {
+            await send(`r${count}`);
+        }
+        expect(notices).toEqual([
+            { instanceId: "i-1", limitPerSecond: 9.5, isLeaving: false },
+            { instanceId: "i-1", limitPerSecond: undefined, isLeaving: true },
+            { instanceId: "i-1", limitPerSecond: 0, isLeaving: false },
+            { instanceId: "i-1", limitPerSecond: undefined, isLeaving: false },
+        ]);
+    });
+
+    test("reports nothing for an instance that another one answers for", async () => {
+        behave = (socket) => socket.write("HTTP/1.1 421 No\r\nX-Request: r1\r\nLimit: 5\r\nContent-Length: 0\r\n\r\n");
+        await send("r1");
+        expect(notices).toEqual([]);
+    });
+
     test("reuses a connection", async () => {
         behave = (socket, _text, count) => socket.write(response(`r${count}`, "tile"));
         await send("r1");
--- a/src/calls/__tests__/CallReceiver.test.ts
+++ b/src/calls/__tests__/CallReceiver.test.ts
@@ -30,6 +30,7 @@
             clock: new SystemClock(),
             client: client as unknown as BackendClient,
             drainGraceMs: 60_000,
+            onNotice: () => undefined,
             onNotServed: () => undefined,
         });
         receiver.updateInstance({
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -10,6 +10,8 @@
     readonly activeBackendRequests: () => number;
     /** Bytes of the bodies that other nodes are sending to this one. */
     readonly pendingBodyBytes: () => number;
+    /** Requests a second that the backend server of this host takes; undefined if it states no limit. */
+    readonly backendLimit: () => number | undefined;
     readonly openedConnections: () => number;
     readonly droppedLogLines: () => number;
 };
@@ -60,6 +62,11 @@
             readings.activeBackendRequests,
         );
         this.gauge("pending_body_bytes", "Bytes of bodies that other nodes are sending", readings.pendingBodyBytes);
+        this.gauge(
+            "backend_request_limit",
+            "Requests a second that the backend server of this host takes; -1 without a limit",
+            () => readings.backendLimit() ?? -1,
+        );
         this.gauge(
             "backend_connections_opened",
             "Connections to the backend server so far",
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -72,20 +72,25 @@
     const directory = new BackendDirectory(zone);
     let stopping = false;
 
-    const client = resources.add(new BackendClient(headerNames));
+    const client = resources.add(
+        new BackendClient(headerNames, (instanceId, notice) => receiver.applyNotice(instanceId, notice)),
+    );
     const metrics: NodeMetrics = new NodeMetrics({
         configurationVersion: () => routes?.version ?? 0,
         knownBackends: () => [...directory.backendsByService.values()].flat().length,
         activeRequests: () => ingress.activeRequests,
         activeBackendRequests: () => receiver.activeCalls,
         pendingBodyBytes: () => bodyReceiver.pendingBytes,
+        backendLimit: () => receiver.limitPerSecond,
         openedConnections: () => client.openedConnections,
         droppedLogLines: () => output.droppedLines(),
     });
-    const receiver = new CallReceiver({
+    const receiver: CallReceiver = new CallReceiver({
         clock,
         client,
         drainGraceMs: settings.drainMs * DRAIN_GRACE_FRACTION,
+        onNotice: ({ id }, { isLeaving, limitPerSecond }) =>
+            log.infoRateLimited("backend-notice", { instance: id, limitPerSecond, leaving: isLeaving }),
         onNotServed: ({ requestId, service }, result, details) => {
             const reason = result.kind === "answered" ? "answered" : result.reason;
             metrics.countRefusal(reason);
