Stop sending requests to a backend server whose responses say that it leaves

What callers see: requests sent to a backend server that is about to end, and lost with it, until its announcement arrives. Cause: the header of a leaving backend server was read by nothing; only announcements told, which may come seconds late. Change: the first response that says so makes it draining on its host, as an announcement does, and its node publishes that. Load reports tell it to the other nodes, which remember it for this start of the backend server: the node on its host may restart and announce it as ready again. Endpoints name the time of the start for that.

--- a/src/calls/BackendLoad.ts
+++ b/src/calls/BackendLoad.ts
@@ -1,6 +1,10 @@
 /** Load of a backend server. The node on its host sends it to other nodes with each result. */
 export type BackendLoad = {
     readonly instanceId: string;
+    /** Unix time in ms at which it started; 0 if unknown. */
+    readonly bornMs: number;
+    /** True if it has announced that it is draining, or states so in its responses. */
+    readonly isDraining: boolean;
     /** Requests that run or wait there. */
     readonly total: number;
     /** How many of these requests came from the node that this load is sent to. */
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -6,6 +6,7 @@
 import { CallResult } from "./CallResult";
 import { isServerError } from "./isServerError";
 import { LocalInstance } from "./LocalInstance";
+import { localInstances } from "./localInstances";
 import { slotQueue } from "./slotQueue";
 
 /** Dependencies and settings of the receiver. */
@@ -104,13 +105,16 @@
         return this.notice.limitPerSecond;
     }
 
-    /** Records what a response of the backend server stated. */
+    /** Records what a response of the backend server stated. From the first one that says so, it is draining. */
     public applyNotice(instanceId: string, notice: BackendNotice): void {
         const { instance, notice: previous } = this;
         if (!instance || instance.id !== instanceId) {
             return;
         }
         this.notice = notice;
+        if (notice.isLeaving) {
+            this.instance = localInstances.deregister(instance, instance.id, instance.bornMs, this.nowMs());
+        }
         if (notice.limitPerSecond !== previous.limitPerSecond) {
             const nowMs = this.nowMs();
             this.applyProgress(slotQueue.advance(slotQueue.limit(this.queue, notice.limitPerSecond, nowMs), nowMs));
@@ -147,6 +151,8 @@
         }
         return {
             instanceId: instance.id,
+            bornMs: instance.bornMs,
+            isDraining: instance.drainingSinceMs !== undefined,
             total: this.active,
             yours: this.activeByNode.get(node) ?? 0,
             serviceMs: this.queue.serviceMs,
--- a/src/calls/RoutableBackend.ts
+++ b/src/calls/RoutableBackend.ts
@@ -7,6 +7,8 @@
     readonly service: string;
     readonly version: string;
     readonly instanceId: string;
+    /** Unix time in ms at which it started; 0 if unknown. */
+    readonly bornMs: number;
     readonly slots: number;
     /** Time of the monotonic clock at which its slow start ends. */
     readonly warmAtMs: number;
--- a/src/calls/__tests__/BackendViews.test.ts
+++ b/src/calls/__tests__/BackendViews.test.ts
@@ -5,6 +5,8 @@
 
 const load = (pacingMs?: number): BackendLoad => ({
     instanceId: "i-1",
+    bornMs: 0,
+    isDraining: false,
     total: 1,
     yours: 1,
     serviceMs: 90,
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -21,6 +21,7 @@
     service: "canopy-map",
     version: "v1",
     instanceId: `i-${nodeId}`,
+    bornMs: 0,
     slots: 4,
     warmAtMs: 0,
 }));
--- a/src/calls/__tests__/CallReceiver.test.ts
+++ b/src/calls/__tests__/CallReceiver.test.ts
@@ -107,8 +107,8 @@
         expect(sent).toEqual([]);
     });
 
-    // Guards against a leaving backend server that gets requests after the drain time. KNOWN-RED 24.
-    test.failing("sends nothing to a backend server after its grace period since a response said that it leaves", async () => {
+    // Guards against a leaving backend server that gets requests after the drain time.
+    test("sends nothing to a backend server after its grace period since a response said that it leaves", async () => {
         jest.useFakeTimers();
         receiver.applyNotice("i-1", { limitPerSecond: undefined, isLeaving: true });
         const first = receive("r1");
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -21,6 +21,7 @@
     service: "canopy-map",
     version: "v1",
     instanceId: `i-${nodeId}`,
+    bornMs: 0,
     slots: 4,
     warmAtMs: 0,
     ...change,
--- a/src/deployment/LocalBackendTask.ts
+++ b/src/deployment/LocalBackendTask.ts
@@ -73,6 +73,11 @@
         this.publishEndpoints();
     }
 
+    /** Publishes the state of the backend server after its responses have changed it. */
+    public publish(): void {
+        this.publishEndpoints();
+    }
+
     private updateInstance(next: LocalInstance | undefined, event: string): void {
         const { log, receiver } = this.options;
         const previous = receiver.localInstance;
@@ -107,6 +112,7 @@
             slots: localInstance.slots,
             state: draining ? EndpointState.Draining : EndpointState.Ready,
             instanceId: localInstance.id,
+            bornMs: localInstance.bornMs,
             coldRemainingMs: Math.max(0, Math.round(localInstance.warmAtMs - clock.monotonicMs())),
         }];
     }
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -6,6 +6,7 @@
 import { CallReceiver } from "../calls/CallReceiver";
 import { CallTask } from "../calls/CallTask";
 import { IngressServer } from "../calls/IngressServer";
+import { LeavingBackends } from "../calls/LeavingBackends";
 import { readyBackends } from "../calls/readyBackends";
 import { SplitSequence } from "../calls/SplitSequence";
 import { RouteIndex } from "../configuration/RouteIndex";
@@ -89,8 +90,10 @@
         clock,
         client,
         drainGraceMs: settings.drainMs * DRAIN_GRACE_FRACTION,
-        onNotice: ({ id }, { isLeaving, limitPerSecond }) =>
-            log.infoRateLimited("backend-notice", { instance: id, limitPerSecond, leaving: isLeaving }),
+        onNotice: ({ id }, { isLeaving, limitPerSecond }) => {
+            log.infoRateLimited("backend-notice", { instance: id, limitPerSecond, leaving: isLeaving });
+            localBackend.publish();
+        },
         onNotServed: ({ requestId, service }, result, details) => {
             const reason = result.kind === "answered" ? "answered" : result.reason;
             metrics.countRefusal(reason);
@@ -105,6 +108,7 @@
     });
     const bodyReceiver = new BodyReceiver({ clock, linkBytesPerMs: settings.linkBytesPerMs });
     const views = new BackendViews();
+    const leavingBackends = new LeavingBackends();
     const calls = resources.add(
         new CallTask({
             ownId: settings.id,
@@ -113,6 +117,9 @@
             bodyReceiver,
             onLoad: (nodeId, load, route) => {
                 views.updateLoad(nodeId, load, clock.monotonicMs());
+                if (load.isDraining && leavingBackends.add(load, clock.monotonicMs())) {
+                    updateMembers(membership.current);
+                }
                 if (load.routeServiceMs !== undefined) {
                     dispatcher.recordServiceTime(route, load.routeServiceMs);
                 }
@@ -123,7 +130,15 @@
 
     const updateMembers = (state: MembershipState): void => {
         const members = membershipOperations.presentMembers(state);
-        directory.updateBackends(readyBackends(members, clock.monotonicMs(), directory.backendsByService));
+        const nowMs = clock.monotonicMs();
+        directory.updateBackends(
+            readyBackends(
+                members,
+                nowMs,
+                directory.backendsByService,
+                (candidate) => leavingBackends.has(candidate, nowMs),
+            ),
+        );
         calls.updateMembers(new Map(members.map(({ incarnation, peerAddress }) => [peerAddress, incarnation])));
         views.keepOnly([...directory.backendsByService.values()].flat());
         configuration.setControlAddresses(controlAddresses(state, seeds));
@@ -231,7 +246,7 @@
     );
     updateMembers(membership.current);
 
-    const localBackend = new LocalBackendTask({ clock, log, receiver, membership });
+    const localBackend: LocalBackendTask = new LocalBackendTask({ clock, log, receiver, membership });
     const backend: LocalBackendAdministration = {
         announce: (announcement) => localBackend.announce(announcement),
         deregister: (id, bornMs) => localBackend.deregister(id, bornMs),
--- a/src/membership/BackendEndpoint.ts
+++ b/src/membership/BackendEndpoint.ts
@@ -9,6 +9,8 @@
     readonly state: EndpointState;
     /** Identifies one run of the backend server. Undefined if announcements do not carry it. */
     readonly instanceId?: string;
+    /** Unix time in ms at which it started. Undefined or 0 if announcements do not carry it. */
+    readonly bornMs?: number;
     /** Time left of its slow start when this record was announced, in milliseconds. */
     readonly coldRemainingMs?: number;
 };
