--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -7,6 +7,7 @@
 import { isServerError } from "./isServerError";
 import { LocalInstance } from "./LocalInstance";
 import { localInstances } from "./localInstances";
+import { SendingNodes } from "./SendingNodes";
 import { slotQueue } from "./slotQueue";
 
 /** Dependencies and settings of the receiver. */
@@ -44,9 +45,6 @@
 /** Weight of a new outcome in the failure share: about the last 15 requests count. */
 const FAILURE_WEIGHT = 0.07;
 
-/** A node that sent a request within this time counts as one of those that share the limit of a backend server. */
-const SENDING_NODE_MS = 2_000;
-
 /** Reasons that count as a failure of the backend server itself. */
 const failureReasons: ReadonlySet<string> = new Set(["shed", "unreachable", "broken", "timed-out", "unsigned"]);
 
@@ -62,7 +60,7 @@
 export class CallReceiver {
     private readonly waiting = new Map<number, WaitingCall>();
     private readonly activeByNode = new Map<string, number>();
-    private readonly lastArrivalByNode = new Map<string, number>();
+    private readonly sendingNodes = new SendingNodes();
     private instance: LocalInstance | undefined;
     private notice = nothingStated;
     private queue = slotQueue.create(1);
@@ -129,7 +127,7 @@
         const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal };
         this.active += 1;
         if (this.limitPerSecond !== undefined) {
-            this.lastArrivalByNode.set(from, call.arrivedMs);
+            this.sendingNodes.record(from, call.arrivedMs);
         }
         this.activeByNode.set(from, (this.activeByNode.get(from) ?? 0) + 1);
         try {
@@ -186,12 +184,7 @@
             return undefined;
         }
         const nowMs = this.nowMs();
-        this.lastArrivalByNode.forEach((arrivedMs, node) => {
-            if (nowMs - arrivedMs > SENDING_NODE_MS) {
-                this.lastArrivalByNode.delete(node);
-            }
-        });
-        return slotQueue.pacingMs(this.queue, this.lastArrivalByNode.size, nowMs);
+        return slotQueue.pacingMs(this.queue, this.sendingNodes.count(nowMs), nowMs);
     }
 
     private async admit(call: ReceivedCall): Promise<CallResult> {
--- a/src/calls/tokenBucket.ts
+++ b/src/calls/tokenBucket.ts
@@ -2,7 +2,7 @@
 type TokenBucket = {
     /** Requests a second. */
     readonly rate: number;
-    /** Requests that may start at `updatedAtMs`; negative while none may. */
+    /** Requests that may start at `updatedAtMs`; a fraction is part of the next one. */
     readonly tokens: number;
     readonly updatedAtMs: number;
 };
