--- a/src/model/__tests__/groupModel.test.ts
+++ b/src/model/__tests__/groupModel.test.ts
@@ -1,6 +1,7 @@
 import * as fc from "fast-check";
 import { logOperations } from "../../consensus/logOperations";
 import { Membership } from "../../consensus/Membership";
+import { MembershipChange } from "../../consensus/MembershipChange";
 import { Role } from "../../consensus/Role";
 import { step } from "../../consensus/step";
 import { nextGroupChange } from "../../deployment/nextGroupChange";
@@ -62,6 +63,15 @@
     return replica ? logOperations.membershipOf(replica.state.log) : emptyMembership;
 };
 
+const proposeChange = (model: ModelState, leader: string, change: MembershipChange | undefined): ModelState =>
+    change
+        ? advanceModel(
+            model,
+            { nodeId: leader, input: { kind: "change-membership", requestId: "m", change } },
+            protocolStep,
+        )
+        : model;
+
 /** A replica that is not a voter asks to join, and the leader proposes the next membership change towards that. */
 const requestJoin = (model: ModelState, choice: number): ModelState => {
     const leader = leaderOf(model);
@@ -74,14 +84,7 @@
         return model;
     }
     const id = nonVoters[choice % nonVoters.length];
-    const change = nextGroupChange(membership, { id, address: addressOf(id) });
-    return change
-        ? advanceModel(
-            model,
-            { nodeId: leader, input: { kind: "change-membership", requestId: "m", change } },
-            protocolStep,
-        )
-        : model;
+    return proposeChange(model, leader, nextGroupChange(membership, { id, address: addressOf(id) }));
 };
 
 /**
@@ -94,14 +97,7 @@
         return model;
     }
     const others = [...model.replicas.keys()].filter((id) => id !== leader);
-    const change = nextRemoval(membershipAt(model, leader), [others[choice % others.length]]);
-    return change
-        ? advanceModel(
-            model,
-            { nodeId: leader, input: { kind: "change-membership", requestId: "m", change } },
-            protocolStep,
-        )
-        : model;
+    return proposeChange(model, leader, nextRemoval(membershipAt(model, leader), [others[choice % others.length]]));
 };
 
 /**
