Tell backend servers that ended from connections that broke, and name requests by content

Requests were named by ids, which differ for each resend, and reason=broken was logged alike for an ended backend server and for one that broke a single connection off.

call-not-served names the instance and a fingerprint of method, host, path, body and client account. When a connection breaks, the node beside the backend server opens another one; if that is refused, the reason is backend-ended. An established connection is kept for the next request, so that a broken response costs no further connection. Routing is unchanged: everything that took 'broken' into account takes 'backend-ended' alike.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -18,6 +18,9 @@
  */
 const MAXIMUM_HELD_BYTES = 33_554_432;
 
+/** A connection on the same host is accepted or refused far sooner; without either nothing is known. */
+const REACHABILITY_TIMEOUT_MS = 100;
+
 /** The response of an instance to a request for another one. */
 const MISDIRECTED_STATUS = 421;
 
@@ -39,6 +42,7 @@
     private readonly connections = new Set<BackendConnection>();
     private readonly memory = new MemoryBudget(MAXIMUM_HELD_BYTES);
     private openedCount = 0;
+    private reachabilityCheck: Promise<boolean> | undefined;
 
     /**
      * @param onNotice is called with what each response states about the backend server
@@ -99,7 +103,7 @@
                 if (closeReason === "timed-out") {
                     this.closeIdle();
                 }
-                return { kind: "unknown", reason: closeReason ?? "broken" };
+                return { kind: "unknown", reason: closeReason ?? await this.reasonOfBreak(address, request) };
         }
     }
 
@@ -125,6 +129,10 @@
                 return connection;
             }
         }
+        return this.openConnection(address, instanceId);
+    }
+
+    private openConnection(address: string, instanceId: string): BackendConnection | undefined {
         const target = parseAddress(address);
         if (!target) {
             return undefined;
@@ -143,6 +151,33 @@
         return opened;
     }
 
+    /** Tells a backend server that ended from one that only broke a connection off. */
+    private async reasonOfBreak(address: string, request: CallRequest): Promise<"backend-ended" | "broken"> {
+        // All requests that break together share one check.
+        this.reachabilityCheck ??= this.mayBeReachable(address, request).finally(() => {
+            this.reachabilityCheck = undefined;
+        });
+        return await this.reachabilityCheck ? "broken" : "backend-ended";
+    }
+
+    /** False if the backend server refuses a connection. An established one is kept for a later request. */
+    private async mayBeReachable(address: string, { instanceId }: CallRequest): Promise<boolean> {
+        const connection = this.openConnection(address, instanceId);
+        if (!connection) {
+            return true;
+        }
+        let timer: NodeJS.Timeout | undefined;
+        const isUndecided = new Promise<boolean>((resolve) => {
+            timer = setTimeout(() => {
+                resolve(true);
+                connection.close();
+            }, REACHABILITY_TIMEOUT_MS);
+        });
+        const isReachable = await Promise.race([isUndecided, connection.waitUntilOpen()]);
+        clearTimeout(timer);
+        return isReachable;
+    }
+
     private encode(request: CallRequest, timeoutMs: number): Buffer {
         const { account, body, callerService, headers, instanceId, method, target } = request;
         const { names } = this;
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -60,6 +60,8 @@
     /** Bytes of the bodies of responses to other requests that arrived during this one. */
     private skippedBytes = 0;
     private opened = false;
+    /** Called once the connection is established, or has failed. */
+    private settleOpening: (isOpen: boolean) => void = () => undefined;
     private closed = false;
     private reusable = true;
     private maximumIdleMs = DEFAULT_IDLE_TIMEOUT_MS * IDLE_TIMEOUT_SHARE;
@@ -75,6 +77,8 @@
         this.socket.setNoDelay(true);
         this.socket.on("connect", () => {
             this.opened = true;
+            this.idleSinceMs = performance.now();
+            this.settleOpening(true);
         });
         this.socket.on("data", (chunk) => this.onData(chunk));
         this.socket.on("end", () => this.onEnd());
@@ -96,6 +100,13 @@
         return this.pending !== undefined;
     }
 
+    /** Resolves to whether the connection was established. A connection that has carried no request may be reused. */
+    public waitUntilOpen(): Promise<boolean> {
+        return new Promise((resolve) => {
+            this.settleOpening = resolve;
+        });
+    }
+
     public send(request: WireRequest): Promise<WireResult> {
         return new Promise((settle) => {
             if (this.closed) {
@@ -118,6 +129,7 @@
             return;
         }
         this.closed = true;
+        this.settleOpening(false);
         this.socket.destroy();
         this.body.clear();
         this.holding.resize(0);
--- a/src/calls/BackendViews.ts
+++ b/src/calls/BackendViews.ts
@@ -10,6 +10,7 @@
     "link-down",
     "link-broken",
     "broken",
+    "backend-ended",
     "silent",
     "not-here",
     "evacuated",
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -1,5 +1,6 @@
 import { MeshRoute } from "../configuration/MeshRoute";
 import { Clock } from "../core/Clock";
+import { requestFingerprint } from "../crashes/requestFingerprint";
 import { BackendSelector } from "./BackendSelector";
 import { BackendViews } from "./BackendViews";
 import { CallRequest } from "./CallRequest";
@@ -79,8 +80,9 @@
 
     public constructor(private readonly options: DispatcherOptions) {}
 
-    public async dispatch(call: DispatchedCall): Promise<CallResult> {
+    public async dispatch({ request, ...target }: DispatchedCall): Promise<CallResult> {
         const { allowance, clock } = this.options;
+        const call: DispatchedCall = { ...target, request: { ...request, fingerprint: requestFingerprint(request) } };
         this.budgets.set(call.service, retryBudget.onRequest(this.budgetOf(call), allowance, clock.monotonicMs()));
         const tried = new Set<string>();
         let sent = 0;
--- a/src/calls/CallRequest.ts
+++ b/src/calls/CallRequest.ts
@@ -18,6 +18,8 @@
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
     readonly body: Uint8Array;
+    /** See `requestFingerprint`. Absent if the sending node is of a release without it. */
+    readonly fingerprint?: string;
     /** 0 is the most urgent. */
     readonly priority: number;
     /**
--- a/src/calls/CallResult.ts
+++ b/src/calls/CallResult.ts
@@ -33,8 +33,10 @@
     | "cancelled";
 
 type UnknownReason =
-    /** The connection to the backend server ended before a complete response. */
+    /** The connection to the backend server ended before a complete response, but it accepts others. */
     | "broken"
+    /** The backend server ended: the connection broke and it accepts no others. */
+    | "backend-ended"
     /** The link to the node on the backend server's host closed. */
     | "link-broken"
     | "timed-out"
--- a/src/calls/LocalBackendLimits.ts
+++ b/src/calls/LocalBackendLimits.ts
@@ -98,7 +98,8 @@
     /** Notes how a request ended: a connection that was refused or reset means that the backend server may be new. */
     public onResult(result: CallResult, wasCancelled: boolean): void {
         const isSuspicious = result.kind !== "answered"
-            && (result.reason === "broken" || (result.reason === "unreachable" && !wasCancelled));
+            && (result.reason === "broken" || result.reason === "backend-ended"
+                || (result.reason === "unreachable" && !wasCancelled));
         if (isSuspicious && this.queue.state.limits.cold) {
             this.queue.changeLimits(startLimits.suspect);
         }
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -129,6 +129,32 @@
         expect(await send("r1")).toEqual({ kind: "unknown", reason: "broken" });
     });
 
+    // Guards against a crashed backend server that can't be told from one that broke a single connection off.
+    test("tells requests whose backend server ended from those whose connection broke, and reuses the connection of the check", async () => {
+        const sockets: Socket[] = [];
+        behave = (socket, _text, count) => {
+            sockets.push(socket);
+            if (count === 1) {
+                socket.destroy();
+            }
+            else if (count === 2) {
+                socket.write(response("r2", "tile"));
+            }
+        };
+        expect(await send("r1")).toEqual({ kind: "unknown", reason: "broken" });
+        expect(bodyOf(await send("r2"))).toBe("tile");
+        expect(connections).toBe(2);
+        const running = [send("r3"), send("r4")];
+        while (sockets.length < 4) {
+            await new Promise(setImmediate);
+        }
+        server.close();
+        sockets.forEach((socket) => socket.destroy());
+        const ended = { kind: "unknown", reason: "backend-ended" };
+        expect(await Promise.all(running)).toEqual([ended, ended]);
+        expect(client.openedConnections).toBe(4);
+    });
+
     test("reports a response that is not HTTP as broken", async () => {
         behave = (socket) => socket.write("\u0001\u0002 tile\r\n\r\n");
         expect(await send("r1")).toEqual({ kind: "unknown", reason: "broken" });
--- a/src/calls/updateFailureShare.ts
+++ b/src/calls/updateFailureShare.ts
@@ -5,7 +5,14 @@
 const FAILURE_WEIGHT = 0.07;
 
 /** Reasons that count as a failure of the backend server itself. */
-const failureReasons: ReadonlySet<string> = new Set(["shed", "unreachable", "broken", "timed-out", "unsigned"]);
+const failureReasons: ReadonlySet<string> = new Set([
+    "shed",
+    "unreachable",
+    "broken",
+    "backend-ended",
+    "timed-out",
+    "unsigned",
+]);
 
 /** Returns the moving average of the share of requests that failed, after another result. */
 export const updateFailureShare = (failureShare: number, result: CallResult): number => {
--- a/src/deployment/classifyAttempt.ts
+++ b/src/deployment/classifyAttempt.ts
@@ -35,6 +35,7 @@
         case "unreachable":
             return AttemptOutcome.Unreachable;
         case "broken":
+        case "backend-ended":
         case "unsigned":
             return AttemptOutcome.Broken;
         case "timed-out":
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -137,12 +137,14 @@
                 log.infoRateLimited("health-check-failed", { instance, outcome });
             }
         },
-        onNotServed: ({ requestId, service }, result, details) => {
+        onNotServed: ({ fingerprint, instanceId, requestId, service }, result, details) => {
             const reason = result.kind === "answered" ? "answered" : result.reason;
             metrics.countRefusal(reason, details.limitedBy);
             log.infoRateLimited("call-not-served", {
                 request: requestId,
+                fingerprint,
                 service,
+                instance: instanceId,
                 outcome: result.kind,
                 reason,
                 ...details,
