Log requests under which a backend server ended as an event of its own

Cause: call-not-served is limited to 40 lines a second, which the requests that find the ended backend server unreachable use up; in a run of crashingRequests.test.ts only three of some twenty crashes were logged. Change: the event backend-ended has its own limit.

--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -140,7 +140,8 @@
         onNotServed: ({ fingerprint, instanceId, requestId, service }, result, details) => {
             const reason = result.kind === "answered" ? "answered" : result.reason;
             metrics.countRefusal(reason, details.limitedBy);
-            log.infoRateLimited("call-not-served", {
+            // Lines of their own, since the many requests that then find no backend server use up the others.
+            log.infoRateLimited(reason === "backend-ended" ? reason : "call-not-served", {
                 request: requestId,
                 fingerprint,
                 service,
