Refuse at all hosts a request under which backend servers crash

Cause: whether to send a request was decided from the route, the budgets and the load. What it had done to backend servers was forgotten with the attempt, and its resends have other ids.

Change: the node beside a backend server reports the requests that ran when it crashed, by fingerprint, over the links of the membership to all members, and with the result to the sender, whose next attempt takes it into account. After two crashes in a row a request runs only as a trial, at one backend server of the mesh at a time; after three it is refused at once, for ten minutes, longer after each trial that crashes. A completed run clears it. Crashes of runs side by side within 50 ms count once, as their cause may be common; crashes of runs one after another always count. Requests that the same start of the backend server completed within 10 s, and backend servers that drain or were replaced, are not reported.

Why it works: each way to a backend server asks the same evidence: the dispatcher before first attempts, retries and hedges, the receiver on arrival, before it takes a body and before the request runs; waiting requests are refused when it becomes known.

--- a/src/calls/BackendDirectory.ts
+++ b/src/calls/BackendDirectory.ts
@@ -81,6 +81,25 @@
         return fraction < entry.targetShare ? entry.onTargetVersion : entry.onOtherVersions;
     }
 
+    /** Returns the backend servers of a service that are not on a version whose rollout is still running. */
+    public chooseStable(service: string): ZonedBackends {
+        const entry = this.entries.get(service) ?? this.prepare(service);
+        return entry.targetShare === 1 ? entry.onTargetVersion : entry.onOtherVersions;
+    }
+
+    /** True if a rollout has replaced this version of a service, or has rolled it back. */
+    public isReplaced(service: string, version: string): boolean {
+        const rollout = this.rollouts.get(service);
+        return rollout !== undefined
+            && rollout.state !== ServiceRolloutState.Running
+            && (rollout.state === ServiceRolloutState.Finished) === (version !== rollout.targetVersion);
+    }
+
+    /** The versions of a service's known backend servers. */
+    public versionsOf(service: string): ReadonlySet<string> {
+        return new Set((this.backends.get(service) ?? []).map(({ version }) => version));
+    }
+
     private prepare(service: string): ServiceEntry {
         const backends = (this.backends.get(service) ?? []).filter(({ zone }) => !this.evacuatedZones.has(zone));
         const rollout = this.rollouts.get(service);
--- a/src/calls/BackendQueue.ts
+++ b/src/calls/BackendQueue.ts
@@ -6,6 +6,7 @@
 type Limits = typeof startLimits.none;
 
 type WaitingCall = {
+    readonly fingerprint: string | undefined;
     readonly start: () => void;
     readonly expire: () => void;
     /** Removes the request from the queue and ends its wait with this result. */
@@ -13,7 +14,10 @@
     readonly requestId: string;
 };
 
-type OfferedCall = Parameters<typeof slotQueue.offer>[1] & { readonly requestId: string; };
+type OfferedCall = Parameters<typeof slotQueue.offer>[1] & {
+    readonly requestId: string;
+    readonly fingerprint: string | undefined;
+};
 
 /** Dependencies of the queue. */
 type QueueOptions = {
@@ -85,9 +89,11 @@
         return outcome;
     }
 
-    /** Refuses all waiting requests. Returns how many there were. */
-    public refuseWaiting(resultOf: (requestId: string) => CallResult): number {
-        const refused = [...this.waiting.values()];
+    /** Refuses all waiting requests, or those with the given fingerprint. Returns how many there were. */
+    public refuseWaiting(resultOf: (requestId: string) => CallResult, fingerprint?: string): number {
+        const refused = [...this.waiting.values()].filter((call) =>
+            fingerprint === undefined || call.fingerprint === fingerprint
+        );
         refused.forEach(({ refuse, requestId }) => refuse(resultOf(requestId)));
         return refused.length;
     }
@@ -106,7 +112,7 @@
     }
 
     private waitForSlot(
-        { key, requestId }: OfferedCall,
+        { fingerprint, key, requestId }: OfferedCall,
         signal: AbortSignal,
         limitMs: number,
     ): Promise<CallResult | undefined> {
@@ -125,6 +131,7 @@
             const timer = setTimeout(() => withdraw(expired), limitMs);
             this.waiting.set(key, {
                 requestId,
+                fingerprint,
                 start: () => finish(undefined),
                 expire: () => finish(expired),
                 refuse: withdraw,
--- a/src/calls/BackendSelector.ts
+++ b/src/calls/BackendSelector.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../core/Clock";
 import { RandomSource } from "../core/RandomSource";
+import { rankByRendezvous } from "../core/rankByRendezvous";
 import { BackendViews } from "./BackendViews";
 import { pickBackend } from "./pickBackend";
 import { RoutableBackend } from "./RoutableBackend";
@@ -17,6 +18,8 @@
     readonly statistics: RouteStatistics;
     /** Returns the backend servers that may run a request of the service now. */
     readonly backendsOf: (service: string) => ZonedBackends;
+    /** Returns those of the version that is in service apart from a running rollout. */
+    readonly stableBackendsOf: (service: string) => ZonedBackends;
     /** Undefined unless this node's link is narrow. */
     readonly narrowLink?: {
         readonly zone: string;
@@ -64,6 +67,21 @@
         return choice?.backend;
     }
 
+    /**
+     * Returns the backend server at which a request runs under which others crashed. All nodes choose the same one for a
+     * fingerprint, and the next one if it can't be reached.
+     */
+    public selectForTrial(
+        service: string,
+        fingerprint: string,
+        tried: ReadonlySet<string>,
+    ): RoutableBackend | undefined {
+        const { otherZones, sameZone } = this.options.stableBackendsOf(service);
+        const backends = new Map([...sameZone, ...otherZones].map((backend) => [backend.nodeId, backend]));
+        const first = rankByRendezvous(fingerprint, [...backends.keys()]).find((nodeId) => !tried.has(nodeId));
+        return first === undefined ? undefined : backends.get(first);
+    }
+
     /** True if the backend server has a free slot as far as this node knows. */
     public hasFreeSlot(backend: RoutableBackend): boolean {
         const { fromOtherNodes, outstanding } = this.options.views.viewOf(backend);
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -1,11 +1,14 @@
 import { MeshRoute } from "../configuration/MeshRoute";
 import { Clock } from "../core/Clock";
+import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
+import { CrashVerdict } from "../crashes/CrashVerdict";
 import { requestFingerprint } from "../crashes/requestFingerprint";
 import { BackendSelector } from "./BackendSelector";
 import { BackendViews } from "./BackendViews";
 import { CallRequest } from "./CallRequest";
 import { CallResult } from "./CallResult";
 import { CallTask } from "./CallTask";
+import { crashRefusal } from "./crashRefusal";
 import { evacuatedResult } from "./evacuatedResult";
 import { isIdempotent } from "./isIdempotent";
 import { isServerError } from "./isServerError";
@@ -22,6 +25,7 @@
     readonly views: BackendViews;
     readonly selector: BackendSelector;
     readonly statistics: RouteStatistics;
+    readonly crashEvidence: Pick<CrashEvidenceTask, "learn" | "rankOf" | "recordCompletion" | "verdictOf">;
     /** True if backend servers of the service are left out because their zone is evacuated. */
     readonly isEvacuated: (service: string) => boolean;
     readonly allowance: Parameters<typeof retryBudget.mayRetry>[1];
@@ -60,9 +64,18 @@
     readonly signal: AbortSignal;
 };
 
+type AttemptKind = {
+    readonly isHedge?: boolean;
+    /** See `CallRequest`. */
+    readonly isTrial?: boolean;
+};
+
 /** Reasons for which an attempt fails without costing much time or any slot. */
 const unavailableReasons: ReadonlySet<string> = new Set(["link-down", "evacuated"]);
 
+/** Reasons for which a trial has not reached the backend server chosen for it, so that the next one takes its place. */
+const absentReasons: ReadonlySet<string> = new Set(["unreachable", "link-down", "not-here", "evacuated"]);
+
 /** How many attempts of one request may fail for these reasons; after one more it is not retried. */
 const MAXIMUM_UNAVAILABLE = 6;
 
@@ -91,12 +104,16 @@
         let last: CallResult | undefined;
         let mayHaveRun: CallResult | undefined;
         for (;;) {
-            const choice = this.selectUntried(call, tried);
+            const verdict = this.verdictOf(call);
+            if (verdict.kind === "refused") {
+                return mayHaveRun ?? crashRefusal(request.requestId, verdict.retryAfterMs);
+            }
+            const choice = this.selectUntried(call, tried, verdict);
             if (!choice) {
                 return mayHaveRun ?? last ?? this.noBackendResult(call);
             }
             tried.add(choice.nodeId);
-            const ended = await this.attemptWithHedge(call, choice, tried, sent + 1);
+            const ended = await this.attemptWithHedge(call, choice, tried, sent + 1, verdict);
             last = ended.result;
             sent += ended.hedges;
             mayHaveRun = last.kind === "not-run" ? mayHaveRun : last;
@@ -106,7 +123,9 @@
             unavailable += isUnavailable ? 1 : 0;
             refusals += reached || isUnavailable ? 0 : 1;
             this.recordRefusal(call, last);
-            if (unavailable > MAXIMUM_UNAVAILABLE || !this.mayRetry(call, last, sent, refusals)) {
+            const isTrialOver = verdict.kind === "trial"
+                && !(last.kind === "not-run" && absentReasons.has(last.reason));
+            if (isTrialOver || unavailable > MAXIMUM_UNAVAILABLE || !this.mayRetry(call, last, sent, refusals)) {
                 return mayHaveRun ?? last;
             }
             if (sent > 0) {
@@ -125,6 +144,10 @@
             : { kind: "not-run", reason: "no-room", retryAfterMs: NO_BACKEND_RETRY_AFTER_MS };
     }
 
+    private verdictOf({ request }: DispatchedCall): CrashVerdict {
+        return this.options.crashEvidence.verdictOf(request.fingerprint);
+    }
+
     private budgetOf({ service }: DispatchedCall): typeof retryBudget.empty {
         return this.budgets.get(service) ?? retryBudget.empty;
     }
@@ -143,8 +166,13 @@
     private selectUntried(
         { request, route, service, targetAtMs }: DispatchedCall,
         tried: ReadonlySet<string>,
+        verdict: CrashVerdict,
     ): RoutableBackend | undefined {
-        return this.options.selector.select(
+        const { selector } = this.options;
+        if (verdict.kind === "trial") {
+            return selector.selectForTrial(service, request.fingerprint ?? "", tried);
+        }
+        return selector.select(
             { routeName: route.name, service, priority: request.priority, targetAtMs },
             tried,
         );
@@ -156,14 +184,16 @@
         choice: RoutableBackend,
         tried: Set<string>,
         attempt: number,
+        verdict: CrashVerdict,
     ): Promise<HedgedResult> {
         const delayMs = this.options.statistics.hedgeDelayMs(call.route.name);
-        const mayHedge = isIdempotent(call.route) && attempt < call.route.maximumAttempts;
+        const mayHedge = isIdempotent(call.route) && attempt < call.route.maximumAttempts && verdict.kind === "free";
         if (!mayHedge || delayMs === undefined) {
-            return { result: await this.attempt(call, choice, attempt, call.signal, false), hedges: 0 };
+            const isTrial = verdict.kind === "trial";
+            return { result: await this.attempt(call, choice, attempt, call.signal, { isTrial }), hedges: 0 };
         }
         const { hedged, result } = await raceWithHedge({
-            first: (signal) => this.attempt(call, choice, attempt, signal, false),
+            first: (signal) => this.attempt(call, choice, attempt, signal),
             chooseSecond: () => this.chooseHedge(call, tried, attempt + 1),
             delayMs,
             signal: call.signal,
@@ -175,13 +205,14 @@
     private chooseHedge(call: DispatchedCall, tried: Set<string>, attempt: number) {
         const { allowance, clock, selector } = this.options;
         const nowMs = clock.monotonicMs();
-        const choice = this.selectUntried(call, tried);
+        const verdict = this.verdictOf(call);
+        const choice = verdict.kind === "free" ? this.selectUntried(call, tried, verdict) : undefined;
         if (!choice || !selector.hasFreeSlot(choice) || !retryBudget.mayRetry(this.budgetOf(call), allowance, nowMs)) {
             return undefined;
         }
         tried.add(choice.nodeId);
         this.budgets.set(call.service, retryBudget.onRetry(this.budgetOf(call), allowance, nowMs));
-        return (signal: AbortSignal) => this.attempt(call, choice, attempt, signal, true);
+        return (signal: AbortSignal) => this.attempt(call, choice, attempt, signal, { isHedge: true });
     }
 
     private async attempt(
@@ -189,16 +220,19 @@
         choice: RoutableBackend,
         attempt: number,
         signal: AbortSignal,
-        isHedge: boolean,
+        { isHedge = false, isTrial = false }: AttemptKind = {},
     ): Promise<CallResult> {
-        const { calls, clock, coldRequestsPerSecond, onAttempt, statistics, views } = this.options;
+        const { calls, clock, coldRequestsPerSecond, crashEvidence, onAttempt, statistics, views } = this.options;
         const { instanceId, nodeId } = choice;
         const startedMs = clock.monotonicMs();
         const coldRate = coldRequestsPerSecond?.(call.service);
+        const crashRank = crashEvidence.rankOf(call.request.fingerprint ?? "");
         const request: CallRequest = {
             ...call.request,
             ...(coldRate === undefined ? {} : { coldRequestsPerSecond: coldRate }),
             ...(this.options.selector.leavesZone(choice) && { fromOtherZone: true }),
+            ...(crashRank > 0 && { crashRank }),
+            ...(isTrial && { isTrial }),
             instanceId,
             remainingMs: Math.floor(call.deadlineMs - startedMs),
             targetRemainingMs: Math.floor(call.targetAtMs - startedMs),
@@ -207,6 +241,7 @@
         const result = await calls.send(nodeId, choice.address, request, isIdempotent(call.route), signal);
         const endedMs = clock.monotonicMs();
         views.end(nodeId, instanceId, result, endedMs);
+        this.learnFrom(call, result);
         statistics.recordAttempt(call.request, result, endedMs - startedMs);
         onAttempt({
             requestId: call.request.requestId,
@@ -220,6 +255,17 @@
         return result;
     }
 
+    /** Takes in what a result says about crashes, so that the next attempt of the request takes it into account. */
+    private learnFrom({ request: { fingerprint } }: DispatchedCall, result: CallResult): void {
+        const { crashEvidence } = this.options;
+        if (result.kind === "unknown" && result.crashReport) {
+            crashEvidence.learn(result.crashReport);
+        }
+        if (result.kind === "answered" && !isServerError(result.answer.status) && fingerprint !== undefined) {
+            crashEvidence.recordCompletion(fingerprint);
+        }
+    }
+
     private mayRetry(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
         const { allowance, clock } = this.options;
         const { route, signal } = call;
@@ -230,7 +276,7 @@
         if (result.kind === "answered" && !isServerError(result.answer.status)) {
             return false;
         }
-        if (result.kind !== "not-run" && !isIdempotent(route)) {
+        if (result.kind === "not-run" ? result.reason === "crashes-backends" : !isIdempotent(route)) {
             return false;
         }
         const refusalState = this.refusals.get(this.refusalKey(call)) ?? refusalShare.empty;
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -7,6 +7,8 @@
 import { BackendStatements } from "./BackendStatements";
 import { CallRequest } from "./CallRequest";
 import { CallResult } from "./CallResult";
+import { CrashGuard } from "./CrashGuard";
+import { crashRefusal } from "./crashRefusal";
 import { evacuatedResult } from "./evacuatedResult";
 import { HealthCheckClient } from "./HealthCheckClient";
 import { LocalBackendLimits } from "./LocalBackendLimits";
@@ -22,6 +24,7 @@
 type ReceiverOptions = Pick<LimitOptions, "cold" | "onColdChange" | "onHealthCheck"> & {
     readonly clock: Clock;
     readonly client: BackendClient;
+    readonly crashGuard: CrashGuard;
     readonly healthChecks: HealthCheckClient;
     /** For how long a backend server that is draining still gets requests, in ms since it announced that. */
     readonly drainGraceMs: number;
@@ -101,6 +104,7 @@
     public updateInstance(instance: LocalInstance | undefined): void {
         const { isNew, isNewStart } = this.statements.announce(instance);
         if (isNewStart) {
+            this.options.crashGuard.onNewStart();
             this.failureShare = 0;
             this.options.client.closeIdle();
         }
@@ -135,6 +139,11 @@
         return isEvacuated ? this.queue.refuseWaiting(evacuatedResult) : 0;
     }
 
+    /** Refuses waiting requests with this fingerprint at once, since backend servers crashed under it. */
+    public refuseCrashing(fingerprint: string, retryAfterMs: number): void {
+        this.queue.refuseWaiting((requestId) => crashRefusal(requestId, retryAfterMs), fingerprint);
+    }
+
     /** Runs a request here, or refuses it; a refused request never runs. */
     public async receive(from: string, request: CallRequest, signal: AbortSignal): Promise<CallResult> {
         const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal };
@@ -184,9 +193,10 @@
         if (!this.statements.accepts(request, nowMs)) {
             return this.notAccepted(request);
         }
-        return this.otherZones.mustRefuse(request, this.queue.state, nowMs)
-            ? noRoom(this.queue.state.serviceMs)
-            : this.queue.refusalOf(this.toWaiting(request, nowMs));
+        if (this.otherZones.mustRefuse(request, this.queue.state, nowMs)) {
+            return noRoom(this.queue.state.serviceMs);
+        }
+        return this.options.crashGuard.refusalOf(request) ?? this.queue.refusalOf(this.toWaiting(request, nowMs));
     }
 
     /** Expected time that a request takes once it has a slot. */
@@ -207,6 +217,10 @@
         if (this.otherZones.mustRefuse(request, this.queue.state, arrivedMs)) {
             return noRoom(this.queue.state.serviceMs);
         }
+        const crashRefused = this.options.crashGuard.refusalOf(request);
+        if (crashRefused) {
+            return crashRefused;
+        }
         this.limits.learnFrom(request);
         const waiting = this.toWaiting(request, arrivedMs);
         const entered = this.queue.enter(waiting, signal);
@@ -216,13 +230,14 @@
     }
 
     private toWaiting(request: CallRequest, arrivedMs: number) {
-        const { remainingMs, requestId, route, targetRemainingMs } = request;
+        const { fingerprint, remainingMs, requestId, route, targetRemainingMs } = request;
         const priority = this.otherZones.priorityOf(request);
         this.lastKey += 1;
         const targetAtMs = arrivedMs + targetRemainingMs;
         return {
             key: this.lastKey,
             requestId,
+            fingerprint,
             route,
             priority,
             arrivedMs,
@@ -239,12 +254,14 @@
     /** Occupies a slot while the backend server runs the request. */
     private async run(call: ReceivedCall, deadlineMs: number): Promise<CallResult> {
         const { request, signal } = call;
+        const { client, crashGuard } = this.options;
         const startedMs = this.nowMs();
         let result: CallResult = signal.aborted ? cancelled : expired;
         const { instance } = this.statements;
         if (!signal.aborted && deadlineMs > startedMs) {
+            const send = (address: string) => client.send(address, request, deadlineMs - startedMs, signal);
             result = instance && this.statements.accepts(request, startedMs)
-                ? await this.options.client.send(instance.address, request, deadlineMs - startedMs, signal)
+                ? await crashGuard.run(request, instance, () => send(instance.address))
                 : this.notAccepted(request);
         }
         const nowMs = this.nowMs();
--- a/src/calls/CallRequest.ts
+++ b/src/calls/CallRequest.ts
@@ -20,6 +20,10 @@
     readonly body: Uint8Array;
     /** See `requestFingerprint`. Absent if the sending node is of a release without it. */
     readonly fingerprint?: string;
+    /** The highest rank of the crashes under the request that the sending node knows, see `CrashReport`. */
+    readonly crashRank?: number;
+    /** True if backend servers crashed under the request and it may run at one of them at a time, see `CrashVerdict`. */
+    readonly isTrial?: boolean;
     /** 0 is the most urgent. */
     readonly priority: number;
     /**
--- a/src/calls/CallResult.ts
+++ b/src/calls/CallResult.ts
@@ -1,3 +1,4 @@
+import { CrashReport } from "../crashes/CrashReport";
 import { CallResponse } from "./CallResponse";
 
 /** The result of one attempt at a request. */
@@ -13,6 +14,8 @@
         /** The request may have run. */
         readonly kind: "unknown";
         readonly reason: UnknownReason;
+        /** With reason "backend-ended": what the node on its host reports to all members. */
+        readonly crashReport?: CrashReport;
     };
 
 type NotRunReason =
@@ -20,6 +23,8 @@
     | "no-room"
     /** Backend servers of the service are left out, or refuse requests, because their zone is evacuated. */
     | "evacuated"
+    /** Backend servers crashed under the request, or another such request runs at the backend server chosen for it. */
+    | "crashes-backends"
     /** The backend server is not (or no longer) on that host, or it is draining. */
     | "not-here"
     /** No connection to the backend server could be established. */
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -1,9 +1,12 @@
 import { sampleConfiguration } from "../../configuration/__tests__/sampleConfiguration";
+import { RequestKind } from "../../configuration/RequestKind";
 import { RandomSource } from "../../core/RandomSource";
 import { SystemClock } from "../../core/SystemClock";
+import { createCrashEvidence } from "../../crashes/__tests__/createCrashEvidence";
 import { BackendSelector } from "../BackendSelector";
 import { BackendViews } from "../BackendViews";
 import { CallDispatcher } from "../CallDispatcher";
+import { CallRequest } from "../CallRequest";
 import { CallResult } from "../CallResult";
 import { CallTask } from "../CallTask";
 import { evacuatedResult } from "../evacuatedResult";
@@ -56,8 +59,16 @@
             calls: { send } as unknown as CallTask,
             views,
             statistics,
+            crashEvidence: createCrashEvidence(),
             isEvacuated: () => false,
-            selector: new BackendSelector({ clock, random: new RandomSource(1), views, statistics, backendsOf }),
+            selector: new BackendSelector({
+                clock,
+                random: new RandomSource(1),
+                views,
+                statistics,
+                backendsOf,
+                stableBackendsOf: backendsOf,
+            }),
             allowance: { ratio: 1, windowMs: 10_000, slack: 100 },
             onAttempt: (attempt) => overdue.push(attempt.overdue),
         });
@@ -95,6 +106,7 @@
             calls: { send: (nodeId: string) => Promise.resolve(resultOf(nodeId)) } as unknown as CallTask,
             views,
             statistics,
+            crashEvidence: createCrashEvidence(),
             isEvacuated: () => true,
             selector: new BackendSelector({
                 clock,
@@ -102,6 +114,7 @@
                 views,
                 statistics,
                 backendsOf: () => splitByZone(nodes, "a"),
+                stableBackendsOf: () => splitByZone(nodes, "a"),
             }),
             allowance: { ratio: 1, windowMs: 10_000, slack: 100 },
             onAttempt: ({ choice }) => tried.push(choice.nodeId),
@@ -135,4 +148,129 @@
         expect(result).toBe(answered);
         expect(tried.at(-1)).toBe("other");
     });
+
+    describe("with a request under which backend servers crash", () => {
+        const three = [...backends, { ...backends[0], nodeId: "three", instanceId: "i-three" }];
+
+        /** Creates a sender; `resultOf` gives the result of each attempt. */
+        const createSender = (
+            resultOf: (nodeId: string, request: CallRequest) => CallResult,
+            kind: RequestKind = "idempotent",
+            crashEvidence = createCrashEvidence(),
+        ) => {
+            const clock = new SystemClock();
+            const views = new BackendViews();
+            const statistics = new RouteStatistics();
+            const sent: CallRequest[] = [];
+            const nodes: string[] = [];
+            const backendsOf = () => splitByZone(three, "a");
+            const send = (nodeId: string, _address: string, request: CallRequest) => {
+                nodes.push(nodeId);
+                sent.push(request);
+                return Promise.resolve(resultOf(nodeId, request));
+            };
+            const random = new RandomSource(1);
+            const dispatcher = new CallDispatcher({
+                clock,
+                calls: { send } as unknown as CallTask,
+                views,
+                statistics,
+                crashEvidence,
+                isEvacuated: () => false,
+                selector: new BackendSelector({
+                    clock,
+                    random,
+                    views,
+                    statistics,
+                    backendsOf,
+                    stableBackendsOf: backendsOf,
+                }),
+                allowance: { ratio: 1, windowMs: 10_000, slack: 100 },
+                onAttempt: () => undefined,
+            });
+            const dispatch = (target: string) =>
+                dispatcher.dispatch({
+                    route: { ...sampleConfiguration(1).routes[0], kind, maximumAttempts: 3 },
+                    service: "canopy-map",
+                    request: sampleRequest("r-1", { target }),
+                    targetAtMs: clock.monotonicMs() + 500,
+                    deadlineMs: clock.monotonicMs() + 5_000,
+                    signal: new AbortController().signal,
+                });
+            return { crashEvidence, dispatch, nodes, sent };
+        };
+
+        const crashResult = (nodeId: string, { crashRank = 0, fingerprint = "" }: CallRequest): CallResult => ({
+            kind: "unknown",
+            reason: "backend-ended",
+            crashReport: {
+                fingerprint,
+                service: "canopy-map",
+                crashes: [{ backend: nodeId, backendVersion: "v1", rank: crashRank + 1, ageMs: 0 }],
+            },
+        });
+
+        /** Reports as many crashes, long enough ago for a trial. */
+        const learn = (evidence: ReturnType<typeof createCrashEvidence>, fingerprint: string, count: number) =>
+            evidence.receive(
+                Array.from({ length: count }, (_, index) => ({
+                    fingerprint,
+                    service: "canopy-map",
+                    crashes: [{ backend: `x-${index}`, backendVersion: "v1", rank: index + 1, ageMs: 6_000 }],
+                })),
+            );
+
+        // Guards against inc1: the attempts and resends of such a request go on after crashes that the sender knows.
+        test("makes no further attempt after a second crash, and refuses resends as not run until a trial is due", async () => {
+            const { dispatch, nodes, sent } = createSender(crashResult);
+            expect(await dispatch("/crash")).toMatchObject({ kind: "unknown", reason: "backend-ended" });
+            expect(sent.map(({ crashRank }) => crashRank)).toEqual([undefined, 1]);
+            expect(await dispatch("/crash")).toMatchObject({ kind: "not-run", reason: "crashes-backends" });
+            expect(nodes).toHaveLength(2);
+            await dispatch("/other");
+            expect(nodes).toHaveLength(4);
+        });
+
+        test("sends a request that is not idempotent once, and refuses no resend after a single crash", async () => {
+            const { dispatch, nodes } = createSender(crashResult, "non-idempotent");
+            expect(await dispatch("/crash")).toMatchObject({ kind: "unknown", reason: "backend-ended" });
+            expect(await dispatch("/crash")).toMatchObject({ kind: "unknown", reason: "backend-ended" });
+            expect(await dispatch("/crash")).toMatchObject({ kind: "not-run", reason: "crashes-backends" });
+            expect(nodes).toHaveLength(2);
+        });
+
+        // Guards against trials of one request at several backend servers at a time.
+        test("makes a trial at the same backend server from every node, and at the next only if that one is absent", async () => {
+            const senders = [1, 2, 3, 4].map(() => createSender(() => answered));
+            const { dispatch, sent } = senders[0];
+            await dispatch("/crash");
+            const fingerprint = sent[0].fingerprint ?? "";
+            for (const sender of senders) {
+                learn(sender.crashEvidence, fingerprint, 2);
+                expect(await sender.dispatch("/crash")).toBe(answered);
+            }
+            const trials = senders.map(({ nodes }) => nodes[nodes.length - 1]);
+            expect(new Set(trials).size).toBe(1);
+            expect(senders[1].sent[0]).toMatchObject({ isTrial: true, crashRank: 2 });
+            const busy: CallResult = { kind: "not-run", reason: "crashes-backends", retryAfterMs: 9 };
+            const absent: CallResult = { kind: "not-run", reason: "unreachable", retryAfterMs: 0 };
+            const atBusy = createSender(() => busy);
+            learn(atBusy.crashEvidence, fingerprint, 2);
+            expect(await atBusy.dispatch("/crash")).toBe(busy);
+            expect(atBusy.nodes).toEqual([trials[0]]);
+            const atAbsent = createSender((nodeId) => (nodeId === trials[0] ? absent : answered));
+            learn(atAbsent.crashEvidence, fingerprint, 2);
+            expect(await atAbsent.dispatch("/crash")).toBe(answered);
+            expect(atAbsent.nodes).toHaveLength(2);
+        });
+
+        test("serves it again everywhere after a completed trial", async () => {
+            const { crashEvidence, dispatch, sent } = createSender(() => answered);
+            await dispatch("/crash");
+            learn(crashEvidence, sent[0].fingerprint ?? "", 2);
+            expect(crashEvidence.list()).toHaveLength(1);
+            await dispatch("/crash");
+            expect(crashEvidence.list()).toEqual([]);
+        });
+    });
 });
--- a/src/calls/__tests__/createReceiver.ts
+++ b/src/calls/__tests__/createReceiver.ts
@@ -1,6 +1,9 @@
 import { SystemClock } from "../../core/SystemClock";
+import { createCrashEvidence } from "../../crashes/__tests__/createCrashEvidence";
+import { CrashEvidenceTask } from "../../crashes/CrashEvidenceTask";
 import { BackendClient } from "../BackendClient";
 import { CallReceiver } from "../CallReceiver";
+import { CrashGuard } from "../CrashGuard";
 import { HealthCheckClient } from "../HealthCheckClient";
 
 const DRAIN_GRACE_MS = 60_000;
@@ -12,10 +15,17 @@
     },
 } as unknown as HealthCheckClient;
 
-const create = (client: BackendClient, slots: number, healthChecks = noHealthChecks): CallReceiver => {
+const create = (
+    client: BackendClient,
+    slots: number,
+    healthChecks = noHealthChecks,
+    evidence: CrashEvidenceTask = createCrashEvidence(),
+): CallReceiver => {
+    const clock = new SystemClock();
     const receiver = new CallReceiver({
-        clock: new SystemClock(),
+        clock,
         client,
+        crashGuard: new CrashGuard({ clock, evidence, isPlannedEnd: () => false }),
         healthChecks,
         cold: { overage: 1.5, slack: 8 },
         onColdChange: () => undefined,
--- a/src/calls/__tests__/createZoneHost.ts
+++ b/src/calls/__tests__/createZoneHost.ts
@@ -38,6 +38,7 @@
         views,
         statistics,
         backendsOf,
+        stableBackendsOf: backendsOf,
         narrowLink: policy === "price" ? narrowLink : undefined,
     });
     const fill = fillByCapacity();
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -19,6 +19,10 @@
     readonly backendLimit: () => { readonly perSecond: number; readonly reason: string; } | undefined;
     /** Zones whose evacuation is in force here. */
     readonly evacuatedZones: () => number;
+    /** Requests, by content, under which backend servers crashed lately. */
+    readonly crashSuspects: () => number;
+    /** Those that are refused now. */
+    readonly refusedFingerprints: () => number;
     readonly openedConnections: () => number;
     /** Requests of accounts with a quota that may be admitted now. */
     readonly quotaTokens: () => number;
@@ -125,6 +129,16 @@
             "1 if that limit is in effect because the backend server is cold or may be",
             () => (readings.backendLimit()?.reason === "cold" ? 1 : 0),
         );
+        this.gauge(
+            "crash_suspects",
+            "Requests, by content, under which backend servers crashed lately",
+            readings.crashSuspects,
+        );
+        this.gauge(
+            "crash_refused_requests",
+            "Requests, by content, that are refused since backend servers crashed under them",
+            readings.refusedFingerprints,
+        );
         this.gauge("evacuated_zones", "Zones whose evacuation is in force", readings.evacuatedZones);
         this.gauge(
             "backend_connections_opened",
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -8,10 +8,12 @@
 import { PeerReplicaTransport } from "../control/PeerReplicaTransport";
 import { Disposable } from "../core/Disposable";
 import { EventLog } from "../core/EventLog";
+import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
 import { MemberRecord } from "../membership/MemberRecord";
 import { membershipOperations } from "../membership/membershipOperations";
 import { MembershipTask } from "../membership/MembershipTask";
 import { MemberStatus } from "../membership/MemberStatus";
+import { versionsIn } from "../membership/versionsIn";
 import { createProcessContext } from "../process/createProcessContext";
 import { uniqueSeed } from "../process/uniqueSeed";
 import { parseAddressOrDefault } from "../transport/parseAddressOrDefault";
@@ -185,7 +187,15 @@
     );
     await consensus.start();
     await network.listen(parseAddressOrDefault(peerAddress));
-    const membership = resources.add(
+    const crashEvidence = resources.add(
+        new CrashEvidenceTask({
+            clock,
+            log,
+            versionsInService: (service) => versionsIn(presentMembers(), service),
+            spread: (reports) => membership.spread(reports),
+        }),
+    );
+    const membership: MembershipTask = resources.add(
         new MembershipTask({
             own: {
                 id: settings.id,
@@ -208,6 +218,7 @@
                 groupTask.setControlAddresses(controlAddresses(state, seeds));
             },
             onRememberedRevision: () => undefined,
+            gossiped: crashEvidence,
         }),
     );
     presentMembers = () => membershipOperations.presentMembers(membership.current);
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -13,6 +13,7 @@
 import { CallDispatcher } from "../calls/CallDispatcher";
 import { CallReceiver } from "../calls/CallReceiver";
 import { CallTask } from "../calls/CallTask";
+import { CrashGuard } from "../calls/CrashGuard";
 import { HealthCheckClient } from "../calls/HealthCheckClient";
 import { IngressServer } from "../calls/IngressServer";
 import { LeavingBackends } from "../calls/LeavingBackends";
@@ -23,6 +24,7 @@
 import { Disposable } from "../core/Disposable";
 import { EventLog } from "../core/EventLog";
 import { openLogOutput } from "../core/openLogOutput";
+import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
 import { membershipOperations } from "../membership/membershipOperations";
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
@@ -114,15 +116,31 @@
         pendingBodyBytes: () => bodyReceiver.pendingBytes,
         backendLimit: () => receiver.limitInEffect,
         evacuatedZones: () => evacuations.count,
+        crashSuspects: () => crashEvidence.size,
+        refusedFingerprints: () => crashEvidence.refusedCount,
         openedConnections: () => client.openedConnections,
         quotaTokens: () => quotaTask.availableTokens,
         droppedLogLines: () => output.droppedLines(),
         leaseRemainingMs: () => routes?.accounts && lease?.remainingMs(),
     });
     metrics.zoneTraffic.observe(network, zone);
+    const crashEvidence: CrashEvidenceTask = resources.add(
+        new CrashEvidenceTask({
+            clock,
+            log,
+            versionsInService: (service) => directory.versionsOf(service),
+            spread: (reports) => membership.spread(reports),
+            onRefused: (fingerprint, retryAfterMs) => receiver.refuseCrashing(fingerprint, retryAfterMs),
+        }),
+    );
     const receiver: CallReceiver = new CallReceiver({
         clock,
         client,
+        crashGuard: new CrashGuard({
+            clock,
+            evidence: crashEvidence,
+            isPlannedEnd: ({ service, version }) => directory.isReplaced(service, version),
+        }),
         healthChecks: new HealthCheckClient(headerNames),
         cold: { overage: settings.coldOverage, slack: settings.coldSlack },
         drainGraceMs: settings.drainMs * DRAIN_GRACE_FRACTION,
@@ -255,6 +273,7 @@
         calls,
         views,
         statistics,
+        crashEvidence,
         isEvacuated: (service) => directory.isEvacuated(service),
         selector: new BackendSelector({
             clock,
@@ -262,6 +281,7 @@
             views,
             statistics,
             backendsOf: (service) => directory.choose(service, random.fraction()),
+            stableBackendsOf: (service) => directory.chooseStable(service),
             narrowLink: settings.linkBytesPerMs < NARROW_LINK_BYTES_PER_MS
                 ? {
                     zone,
@@ -350,6 +370,7 @@
             reachedRevision: () => configuration.current?.version ?? 0,
             onChange: updateMembers,
             onRememberedRevision: () => undefined,
+            gossiped: crashEvidence,
         }),
     );
     updateMembers(membership.current);
--- a/src/membership/MembershipMessage.ts
+++ b/src/membership/MembershipMessage.ts
@@ -34,6 +34,11 @@
          */
         readonly kind: "versions";
         readonly versions: readonly MemberVersion[];
+    }
+    | {
+        /** A change of the gossiped state, or all of it when a link opens. See `GossipedState`. */
+        readonly kind: "gossip";
+        readonly body: unknown;
     };
 
 type MemberVersion = {
--- a/src/membership/MembershipTask.ts
+++ b/src/membership/MembershipTask.ts
@@ -8,6 +8,7 @@
 import { SocketAddress } from "../transport/SocketAddress";
 import { chooseNeighbours } from "./chooseNeighbours";
 import { compareVersions } from "./compareVersions";
+import { GossipedState } from "./GossipedState";
 import { MemberRecord } from "./MemberRecord";
 import { MembershipMessage } from "./MembershipMessage";
 import { membershipOperations } from "./membershipOperations";
@@ -39,6 +40,7 @@
      * restart of this process. 0 if the neighbour remembers none.
      */
     readonly onRememberedRevision: (floor: number) => void;
+    readonly gossiped?: GossipedState;
 };
 
 /** A member connected by a link that either side opened. */
@@ -118,6 +120,15 @@
         this.changeOwn({ status: MemberStatus.Left, endpoints: [] });
     }
 
+    /** Sends a change of the gossiped state to the neighbours, from which it reaches all members. */
+    public spread(body: unknown, source?: object): void {
+        for (const [key, { send }] of this.neighbours) {
+            if (key !== source) {
+                send({ kind: "gossip", body });
+            }
+        }
+    }
+
     /** Sends every neighbour a heartbeat with the source revision that this process has reached. */
     public sendHeartbeats(): void {
         const message: MembershipMessage = {
@@ -179,6 +190,20 @@
             case "versions":
                 this.onVersions(send, message);
                 return;
+            case "gossip": {
+                const news = this.options.gossiped?.receive(message.body);
+                if (news !== undefined) {
+                    this.spread(news, key);
+                }
+                return;
+            }
+        }
+    }
+
+    private sendSnapshot(send: (message: MembershipMessage) => void): void {
+        const body = this.options.gossiped?.snapshot();
+        if (body !== undefined) {
+            send({ kind: "gossip", body });
         }
     }
 
@@ -194,6 +219,7 @@
         this.applyChange(membershipOperations.merge(this.state, [record], this.nowMs()));
         if (!alreadyLinked) {
             send(this.hello());
+            this.sendSnapshot(send);
         }
         if (digest !== this.state.digest) {
             send(this.versions());
@@ -317,6 +343,7 @@
                 this.neighbours.set(link, { id: peerId, send, digestMismatches: 0 });
                 this.setClosedSince(address, undefined);
                 send(this.hello());
+                this.sendSnapshot(send);
             },
             onMessage: (body) => this.receive(link, send, peerId, body as MembershipMessage),
             onClose: () => {
