Refusals outlast a restart of all processes; operators list and lift them

Cause: what members know of crashes was kept in memory only. After a loss of all processes a request that is refused would have crashed three backend servers again, and an operator who has repaired the fault had no way to end a refusal.

Change: the leader records refusals in the replicated log (at most 500, within half a second, not on the way of a request) and each replica takes them from there after its start, from where they spread. GET Refusals.List and POST Refusals.Lift of any control replica, and the command 'filbertdeal refusals', list and lift them; a lift spreads like a completed run and needs no leader.

--- a/src/cli/addEvacuateCommand.ts
+++ b/src/cli/addEvacuateCommand.ts
@@ -1,6 +1,5 @@
 import { Command } from "commander";
-import { fetch } from "undici";
-import { pause } from "../core/pause";
+import { callOperators } from "./callOperators";
 import { CliContext } from "./CliContext";
 import { ExitCode } from "./ExitCode";
 
@@ -9,48 +8,11 @@
     readonly stop?: boolean;
 };
 
-/** The response of the operators' API. Status 0 means that no replica answered. */
-type OperatorResponse = {
-    readonly status: number;
-    readonly body: { readonly Error?: string; readonly Zones?: readonly string[]; };
-};
+type EvacuationBody = { readonly Zones: readonly string[]; };
 
-const REQUEST_TIMEOUT_MS = 2_000;
-const MAXIMUM_ROUNDS = 10;
-const ROUND_PAUSE_MS = 250;
 const FIRST_SERVER_ERROR = 500;
 const SUCCEEDED = 200;
 
-const send = async (address: string, method: string, path: string): Promise<OperatorResponse | undefined> => {
-    try {
-        // Follows the redirect of a replica that is not the leader.
-        const response = await fetch(`http://${address}/filbertdeal/Evacuations.${path}`, {
-            method,
-            signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
-        });
-        return { status: response.status, body: await response.json() as OperatorResponse["body"] };
-    }
-    catch {
-        return undefined;
-    }
-};
-
-/** Resends a call to the replicas in turn until one acknowledges or rejects it. All of these calls are idempotent. */
-const callAny = async (addresses: readonly string[], method: string, path: string): Promise<OperatorResponse> => {
-    let last: OperatorResponse | undefined;
-    for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
-        for (const address of addresses) {
-            const response = await send(address, method, path);
-            if (response && response.status < FIRST_SERVER_ERROR) {
-                return response;
-            }
-            last = response ?? last;
-        }
-        await pause(ROUND_PAUSE_MS);
-    }
-    return last ?? { status: 0, body: { Error: "no control replica answered. Check --operators" } };
-};
-
 /** Adds the command that evacuates an availability zone, puts it back, or lists the evacuated zones. */
 export const addEvacuateCommand = (program: Command, { environment }: CliContext): void => {
     program
@@ -66,7 +28,11 @@
                 environment.exit(ExitCode.Usage);
                 return;
             }
-            const { body, status } = await callAny(addresses, zone === undefined ? "GET" : "POST", path);
+            const { body, status } = await callOperators<EvacuationBody>(
+                addresses,
+                zone === undefined ? "GET" : "POST",
+                `/filbertdeal/Evacuations.${path}`,
+            );
             if (status !== SUCCEEDED) {
                 environment.printError(`error: ${body.Error}`);
                 const isRejected = status > 0 && status < FIRST_SERVER_ERROR;
--- a/src/cli/runCommandLine.ts
+++ b/src/cli/runCommandLine.ts
@@ -4,6 +4,7 @@
 import { addEvacuateCommand } from "./addEvacuateCommand";
 import { addHostCommands } from "./addHostCommands";
 import { addReadCommands } from "./addReadCommands";
+import { addRefusalsCommand } from "./addRefusalsCommand";
 import { addReplicaCommands } from "./addReplicaCommands";
 import { addTakeBackCommand } from "./addTakeBackCommand";
 import { CliContext } from "./CliContext";
@@ -41,6 +42,7 @@
     addReplicaCommands(program, context);
     addHostCommands(program, context);
     addEvacuateCommand(program, context);
+    addRefusalsCommand(program, context);
     return program;
 };
 
--- a/src/crashes/CrashEvidenceTask.ts
+++ b/src/crashes/CrashEvidenceTask.ts
@@ -52,6 +52,11 @@
         super();
     }
 
+    /** The crashes that count against requests that are refused, or lately were. */
+    public refusedReports(): readonly CrashReport[] {
+        return crashEvidence.refusedReports(this.state, this.nowMs());
+    }
+
     /** Requests against which crashes may count. */
     public get size(): number {
         return this.state.size;
--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -218,6 +218,20 @@
 const reportAll = (state: EvidenceState, nowMs: number): readonly CrashReport[] =>
     [...state].map(([fingerprint, entry]) => reportOf(fingerprint, entry, nowMs));
 
+/** Reports of the crashes that count against requests with enough of them for a refusal, the most first. */
+const refusedReports = (state: EvidenceState, nowMs: number): readonly CrashReport[] =>
+    [...state]
+        .map(([fingerprint, { clearedAtMs, crashes, service }]) => ({
+            fingerprint,
+            service,
+            clearedAtMs: Number.NEGATIVE_INFINITY,
+            crashes: new Map([...crashes].filter(([, { atMs }]) => atMs > clearedAtMs)),
+        }))
+        .map((entry) => ({ entry, count: countCrashes([...entry.crashes.values()]) }))
+        .filter(({ count, entry }) => count >= CRASHES_UNTIL_REFUSAL && nowMs < forgetAtMs(entry))
+        .sort((left, right) => right.count - left.count)
+        .map(({ entry }) => reportOf(entry.fingerprint, entry, nowMs));
+
 /** The number of crashes that count against a request. */
 const crashesOf = (state: EvidenceState, fingerprint: string): number => {
     const entry = state.get(fingerprint);
@@ -233,6 +247,7 @@
     merge,
     clear,
     reportAll,
+    refusedReports,
     maximumEntries: MAXIMUM_ENTRIES,
     refusalMs: REFUSAL_MS,
     trialDelayMs: TRIAL_DELAY_MS,
--- a/src/deployment/ControlMetrics.ts
+++ b/src/deployment/ControlMetrics.ts
@@ -67,6 +67,11 @@
         this.gauge("configuration_version", "Version of the newest configuration", () => read()?.configurationVersion);
         this.gauge("running_moves", "Moves between versions in progress", () => read()?.runningRollouts);
         this.gauge("evacuated_zones", "Zones whose evacuation was accepted", () => read()?.evacuatedZones);
+        this.gauge(
+            "crash_refused_requests",
+            "Requests, by content, that are refused since backend servers crashed under them",
+            () => read()?.refusedRequests,
+        );
         this.gauge("quota_tokens_granted", "Tokens granted to nodes so far", () => read()?.grantedTokens);
         this.gauge(
             "quota_accounts_exhausted",
--- a/src/deployment/ControlReadings.ts
+++ b/src/deployment/ControlReadings.ts
@@ -19,6 +19,8 @@
     readonly configurationVersion: number;
     readonly runningRollouts: number;
     readonly evacuatedZones: number;
+    /** Requests, by content, that are refused since backend servers crashed under them. */
+    readonly refusedRequests: number;
     /** Tokens for requests of accounts with a quota that this replica granted since its start. */
     readonly grantedTokens: number;
     /** Accounts with demand and no token left; 0 unless this replica leads. */
--- a/src/deployment/DeploymentAdministration.ts
+++ b/src/deployment/DeploymentAdministration.ts
@@ -5,6 +5,7 @@
 import { Role } from "../consensus/Role";
 import { Clock } from "../core/Clock";
 import { EventLog } from "../core/EventLog";
+import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
 import { AdministrationResult } from "./AdministrationResult";
 import { DeploymentAnswer } from "./DeploymentAnswer";
 import { DeploymentCommand } from "./DeploymentCommand";
@@ -20,6 +21,7 @@
     /** The availability zones of the mesh; empty if they are not known. */
     readonly zones: readonly string[];
     readonly propose: (command: DeploymentCommand) => Promise<ProposalOutcome>;
+    readonly crashEvidence: Pick<CrashEvidenceTask, "lift" | "list">;
     /** Confirms leadership with a quorum and waits until all committed entries are applied. */
     readonly readBarrier: () => Promise<ProposalOutcome>;
     /** Called at the end of each operator request with its operation, the kind of its result and its duration. */
@@ -125,6 +127,21 @@
         });
     }
 
+    /** Returns the requests under which backend servers crashed, as far as this replica knows. Any replica answers. */
+    public listRefusals(): ReturnType<CrashEvidenceTask["list"]> {
+        return this.options.crashEvidence.list();
+    }
+
+    /**
+     * Lifts the refusal of a request at all members that this replica is connected with. Any replica does it, so that it
+     * works without a leader. Returns false if no crash counts against the request.
+     */
+    public liftRefusal(fingerprint: string): boolean {
+        const isLifted = this.options.crashEvidence.lift(fingerprint);
+        this.options.log.info("refusal-lifted", { fingerprint, isLifted });
+        return isLifted;
+    }
+
     private async measure<Value>(
         operation: string,
         execute: () => Promise<AdministrationResult<Value>>,
--- a/src/deployment/DeploymentCommand.ts
+++ b/src/deployment/DeploymentCommand.ts
@@ -1,4 +1,5 @@
 import { ConfigurationDelta } from "../configuration/ConfigurationDelta";
+import { StoredCrashes } from "../crashes/StoredCrashes";
 import { ServiceRolloutState } from "./ServiceRolloutState";
 
 /**
@@ -40,4 +41,11 @@
         /** Both commands set the state of a zone, so a resent one has no further effect. */
         readonly kind: "start-evacuation" | "stop-evacuation";
         readonly zone: string;
+    }
+    | {
+        /** Sets and removes records of requests that are refused, so a resent one has no further effect. */
+        readonly kind: "record-crashes";
+        readonly stored: readonly StoredCrashes[];
+        /** Fingerprints. */
+        readonly removed: readonly string[];
     };
--- a/src/deployment/DeploymentState.ts
+++ b/src/deployment/DeploymentState.ts
@@ -1,4 +1,5 @@
 import { MeshConfiguration } from "../configuration/MeshConfiguration";
+import { StoredCrashes } from "../crashes/StoredCrashes";
 import { ServiceRollout } from "./ServiceRollout";
 
 /** The replicated state of a deployment: its configuration, the rollouts of its services and the evacuated zones. */
@@ -12,6 +13,8 @@
     readonly moves: ReadonlyMap<string, RolloutRecord>;
     /** The availability zones whose backend servers must not get requests. */
     readonly evacuatedZones: ReadonlySet<string>;
+    /** The requests that are refused since backend servers crashed under them, by fingerprint. */
+    readonly crashRecords: ReadonlyMap<string, StoredCrashes>;
 };
 
 type RolloutRecord = ServiceRollout & {
--- a/src/deployment/DeploymentStateMachine.ts
+++ b/src/deployment/DeploymentStateMachine.ts
@@ -1,4 +1,5 @@
 import { StateMachine } from "../consensus/StateMachine";
+import { StoredCrashes } from "../crashes/StoredCrashes";
 import { applyDeploymentCommand } from "./applyDeploymentCommand";
 import { DeploymentAnswer } from "./DeploymentAnswer";
 import { DeploymentCommand } from "./DeploymentCommand";
@@ -13,6 +14,8 @@
     readonly moves: readonly ReturnType<DeploymentState["moves"]["get"]>[];
     /** Undefined in snapshots of releases without evacuations. */
     readonly evacuatedZones?: readonly string[];
+    /** Undefined in snapshots of releases that refuse no requests for crashes. */
+    readonly crashRecords?: readonly StoredCrashes[];
 };
 
 /** The state machine that applies the replicated log to the state of a deployment. */
@@ -39,13 +42,14 @@
     }
 
     public override takeSnapshot(): unknown {
-        const { acceptedDigests, configuration, evacuatedZones, moves, revision } = this.current;
+        const { acceptedDigests, configuration, crashRecords, evacuatedZones, moves, revision } = this.current;
         const snapshot: Snapshot = {
             revision,
             configuration,
             acceptedDigests: [...acceptedDigests],
             moves: [...moves.values()],
             evacuatedZones: [...evacuatedZones],
+            crashRecords: [...crashRecords.values()],
         };
         return snapshot;
     }
@@ -55,7 +59,8 @@
             this.current = emptyDeployment;
             return;
         }
-        const { acceptedDigests, configuration, evacuatedZones = [], moves, revision } = data as Snapshot;
+        const { acceptedDigests, configuration, crashRecords = [], evacuatedZones = [], moves, revision } =
+            data as Snapshot;
         const rolloutEntries = moves.flatMap((rollout) => (rollout ? [[rollout.service, rollout] as const] : []));
         this.current = {
             revision,
@@ -63,6 +68,7 @@
             acceptedDigests: new Set(acceptedDigests),
             moves: new Map(rolloutEntries),
             evacuatedZones: new Set(evacuatedZones),
+            crashRecords: new Map(crashRecords.map((record) => [record.fingerprint, record])),
         };
         this.onChange(this.current);
     }
--- a/src/deployment/applyDeploymentCommand.ts
+++ b/src/deployment/applyDeploymentCommand.ts
@@ -1,5 +1,6 @@
 import { configurationDeltas } from "../configuration/configurationDeltas";
 import { findConfigurationFault } from "../configuration/findConfigurationFault";
+import { crashRecords } from "../crashes/crashRecords";
 import { DeploymentAnswer } from "./DeploymentAnswer";
 import { DeploymentCommand } from "./DeploymentCommand";
 import { DeploymentState } from "./DeploymentState";
@@ -121,6 +122,9 @@
         case "start-evacuation":
         case "stop-evacuation":
             return setEvacuation(state, command);
+        case "record-crashes":
+            // Members learn of it from one another: the revision, of which nodes are notified, stays.
+            return accepted({ ...state, crashRecords: crashRecords.apply(state.crashRecords, command) });
         default:
             return changeRollout(state, command);
     }
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -21,6 +21,7 @@
 import { controlAddresses } from "./controlAddresses";
 import { ControlMetrics } from "./ControlMetrics";
 import { ControlReadings } from "./ControlReadings";
+import { CrashRecordTask } from "./CrashRecordTask";
 import { DeploymentAdministration } from "./DeploymentAdministration";
 import { DeploymentCommand } from "./DeploymentCommand";
 import { DeploymentControlSettings } from "./DeploymentControlSettings";
@@ -104,7 +105,10 @@
             publisher.publish(stateMachine.state);
         }
     };
-    const stateMachine = new DeploymentStateMachine((state) => {
+    const stateMachine = new DeploymentStateMachine((state, command) => {
+        if (command?.kind === "record-crashes") {
+            return;
+        }
         publishIfConfirmed();
         const { configuration, revision } = state;
         log.info("deployment-changed", { revision, configurationVersion: configuration?.version });
@@ -221,6 +225,16 @@
             gossiped: crashEvidence,
         }),
     );
+    resources.add(
+        new CrashRecordTask({
+            clock,
+            log,
+            evidence: crashEvidence,
+            state: () => stateMachine.state,
+            isLeading: () => consensus.status().role === Role.Leader,
+            propose,
+        }),
+    );
     presentMembers = () => membershipOperations.presentMembers(membership.current);
     groupTask.setControlAddresses(controlAddresses(membership.current, seeds));
     log.info("control-started", { zone, peerAddress, replicaId, founders: founders.length, seeds: seeds.join(",") });
@@ -232,6 +246,7 @@
         status: () => consensus.status(),
         zones: settings.zones,
         propose,
+        crashEvidence,
         readBarrier: () => consensus.readBarrier(),
         onOperatorRequest: (operation, outcome, elapsedMs) =>
             metrics.countOperatorRequest(operation, outcome, elapsedMs),
@@ -253,6 +268,7 @@
             members: membershipOperations.presentMembers(membership.current).length,
             configurationVersion: configuration?.version ?? 0,
             evacuatedZones: evacuatedZones.size,
+            refusedRequests: crashEvidence.refusedCount,
             runningRollouts:
                 [...serviceRollouts.values()].filter(({ state }) => state === ServiceRolloutState.Running).length,
         };
--- a/src/deployment/emptyDeployment.ts
+++ b/src/deployment/emptyDeployment.ts
@@ -7,4 +7,5 @@
     acceptedDigests: new Set(),
     moves: new Map(),
     evacuatedZones: new Set(),
+    crashRecords: new Map(),
 };
