--- a/src/bin/filbertdeal-load.ts
+++ b/src/bin/filbertdeal-load.ts
@@ -76,7 +76,7 @@
         .option("--cold-latency-ms <ms>", "extra latency after the start", "0")
         .option("--warm-up-ms <ms>", "time over which the extra latency after the start fades", "0")
         .option("--health-lag-ms <ms>", "delay of the answers of the health and load endpoints", "0")
-        .option("--fault <kind>", "none, fail or slow", "none")
+        .option("--fault <kind>", "none, fail, slow or crash", "none")
         .option("--fault-share <share>", "share of requests that the fault affects", "1")
         .option("--fault-path <prefix>", "the fault affects only paths with this prefix", "/")
         .option("--fault-after-ms <ms>", "time from the start until the fault begins", "0")
--- a/src/load/FaultPlan.ts
+++ b/src/load/FaultPlan.ts
@@ -1,6 +1,7 @@
 /** How a stand-in backend server misbehaves. */
 export type FaultPlan = {
-    readonly kind: "none" | "fail" | "slow";
+    /** "crash" ends the backend server while it runs an affected request; it starts again soon. */
+    readonly kind: "none" | "fail" | "slow" | "crash";
     /** Share of the matching requests that the fault affects, 0 to 1. */
     readonly share: number;
     /** Only requests whose path has this prefix are affected. */
--- a/src/load/StandInBackend.ts
+++ b/src/load/StandInBackend.ts
@@ -13,6 +13,9 @@
 /** Window in which requests are counted for `FaultPlan.abovePerSecond`. */
 const RATE_WINDOW_MS = 1_000;
 
+/** Time until a backend server that crashed listens again. Below the lease of an announcement, so that it stays known. */
+const RESTART_MS = 1_000;
+
 /** The configuration of a stand-in backend server. */
 type BackendOptions = {
     readonly service: string;
@@ -49,6 +52,8 @@
     /** Monotonic times of the first request that the fault affected and of the last request. */
     readonly firstFaultMs: number | undefined;
     readonly lastRequestMs: number | undefined;
+    /** Monotonic times at which requests that crash it began to run. */
+    readonly crashingRunsMs: readonly number[];
 };
 
 /**
@@ -57,9 +62,11 @@
  */
 export class StandInBackend implements Disposable {
     private readonly resources = new DisposableStore();
-    private readonly server: Server;
+    private server: Server;
+    private readonly crashingRunsMs: number[] = [];
     private readonly random: RandomSource;
     private readonly startedMs = performance.now();
+    private restartTimer: NodeJS.Timeout | undefined;
     private readonly runsByKey = new Map<string, number>();
     private address: SocketAddress | undefined;
     private state = EndpointState.Ready;
@@ -79,13 +86,15 @@
         this.random = new RandomSource(options.seed);
         this.fault = options.fault;
         this.freeSlots = options.slots;
-        this.server = createServer((incoming, response) => void this.serve(incoming, response));
+        this.server = this.createServer();
+        this.resources.add({ dispose: () => clearTimeout(this.restartTimer) });
     }
 
     public get statistics(): BackendStatistics {
         const repeated = [...this.runsByKey].filter(([, runs]) => runs > 1).map(([key]) => key);
-        const { cancelled, firstFaultMs, lastRequestMs, requests, shed } = this;
-        return { requests, cancelled, shed, repeated, ranKeys: this.runsByKey.size, firstFaultMs, lastRequestMs };
+        const { cancelled, crashingRunsMs, firstFaultMs, lastRequestMs, requests, shed } = this;
+        const ranKeys = this.runsByKey.size;
+        return { requests, cancelled, shed, repeated, ranKeys, firstFaultMs, lastRequestMs, crashingRunsMs };
     }
 
     public get service(): string {
@@ -120,6 +129,23 @@
         this.server.close();
     }
 
+    private createServer(): Server {
+        return createServer((incoming, response) => void this.serve(incoming, response));
+    }
+
+    /** Ends the server with all requests that it runs. Another one listens at its address after a while. */
+    private crash(): void {
+        const crashed = this.server;
+        crashed.close();
+        crashed.closeAllConnections();
+        this.restartTimer = setTimeout(() => {
+            this.server = this.createServer();
+            if (this.address) {
+                void listenHttp(this.server, this.address);
+            }
+        }, RESTART_MS);
+    }
+
     private async announce(): Promise<void> {
         const { backendVersion, hostAddress, service, slots } = this.options;
         if (!hostAddress || !this.address) {
@@ -169,8 +195,17 @@
         }
         const extraMs = isAffected && this.fault.kind === "slow" ? this.fault.delayMs : 0;
         await this.acquireSlot();
+        const { server } = this;
+        const isCrashing = isAffected && this.fault.kind === "crash";
+        if (isCrashing) {
+            this.crashingRunsMs.push(performance.now());
+        }
         const isCompleted = !response.destroyed && await this.delay(response, this.drawLatencyMs() + extraMs);
         this.releaseSlot();
+        if (isCrashing && this.server === server && server.listening) {
+            this.crash();
+            return;
+        }
         if (!isCompleted) {
             this.cancelled += 1;
             return;
