--- a/src/proxy/__tests__/callPath.test.ts
+++ b/src/proxy/__tests__/callPath.test.ts
@@ -191,6 +191,28 @@
         expect((await send(caller, {})).complete).toBe(false);
     });
 
+    // Guards against a caller, or a backend server, that has requests of others refused as crashing.
+    test("has no other request refused because of headers that a caller or a backend server sends", async () => {
+        const received: (string | string[] | undefined)[] = [];
+        const report = Buffer.from(JSON.stringify({ fingerprint: "f", service: "map", crashes: [] })).toString(
+            "base64",
+        );
+        const backend = await startBackend((incoming, response) => {
+            received.push(incoming.headers[proxyHeaders.fingerprint], incoming.headers[proxyHeaders.trial]);
+            response.writeHead(200, { [proxyHeaders.crashReport]: report });
+            incoming.resume().on("end", () => response.end("done"));
+        });
+        const caller = await startCaller([await startInbound(backend)]);
+        const headers = { [proxyHeaders.fingerprint]: "chosen", [proxyHeaders.trial]: "1" };
+        const held = await send(caller, { headers });
+        const streamed = await send(caller, { method: "PUT", body: Buffer.alloc(5_000_000), headers });
+        expect([held, streamed].map(({ headers: answered }) => answered[proxyHeaders.crashReport])).toEqual([
+            undefined,
+            undefined,
+        ]);
+        expect(received).toEqual([expect.stringMatching(/^[\w-]{22}$/), undefined, undefined, undefined]);
+    });
+
     test("never resends a non-idempotent request if the connection fails, and reports an unknown outcome", async () => {
         let runs = 0;
         const backend = await startBackend((incoming) => {
