--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -154,7 +154,7 @@
 
         /** Creates a sender; `resultOf` gives the result of each attempt. */
         const createSender = (
-            resultOf: (nodeId: string, request: CallRequest) => CallResult,
+            resultOf: (nodeId: string, request: CallRequest) => CallResult | Promise<CallResult>,
             kind: RequestKind = "idempotent",
             crashEvidence = createCrashEvidence(),
         ) => {
@@ -264,6 +264,27 @@
             expect(atAbsent.nodes).toHaveLength(2);
         });
 
+        // Guards against a second backend server that crashes under a hedge of the request.
+        test("does not hedge it after one crash, unlike other requests", async () => {
+            let delayMs = 2;
+            const { crashEvidence, dispatch, nodes, sent } = createSender(async () => {
+                await new Promise((resolve) => setTimeout(resolve, delayMs));
+                return answered;
+            });
+            for (let sample = 0; sample < SAMPLES; sample += 1) {
+                await dispatch("/crash");
+            }
+            delayMs = 200;
+            const countAttempts = async (target: string): Promise<number> => {
+                nodes.length = 0;
+                await dispatch(target);
+                return nodes.length;
+            };
+            learn(crashEvidence, sent[0].fingerprint ?? "", 1);
+            expect(await countAttempts("/crash")).toBe(1);
+            expect(await countAttempts("/other")).toBe(2);
+        });
+
         test("serves it again everywhere after a completed trial", async () => {
             const { crashEvidence, dispatch, sent } = createSender(() => answered);
             await dispatch("/crash");
