--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -267,6 +267,7 @@
             "node.requests": caller.servedRequests,
             "node.active_requests": caller.activeRequests,
             "node.children": parent.childCount,
+            "node.crash_refused_requests": crashEvidence.refusedCount,
             "node.source_revision": child.current.sourceRevision,
             "node.sent_bytes": network.traffic.sentBytes,
         })),
