--- a/src/crashes/CrashEvidenceTask.ts
+++ b/src/crashes/CrashEvidenceTask.ts
@@ -34,8 +34,6 @@
     readonly spread: (reports: readonly CrashReport[]) => void;
     /** Called when a request begins to be refused. */
     readonly onRefused?: (fingerprint: string, retryAfterMs: number) => void;
-    /** Called with each change, also one that other members reported. */
-    readonly onNews?: (reports: readonly CrashReport[]) => void;
 };
 
 /**
@@ -152,7 +150,7 @@
     }
 
     private accept({ news, state }: ReturnType<typeof crashEvidence.merge>, cause: string): void {
-        const { log, onNews, onRefused } = this.options;
+        const { log, onRefused } = this.options;
         const before = new Map(news.map(({ fingerprint }) => [fingerprint, this.verdictOf(fingerprint).kind]));
         this.state = state;
         for (const { fingerprint, service } of news) {
@@ -169,8 +167,5 @@
                 onRefused?.(fingerprint, verdict.retryAfterMs);
             }
         }
-        if (news.length > 0) {
-            onNews?.(news);
-        }
     }
 }
