filbertdeal-node: requests that a backend server completed are not reported when it crashes

What callers would have seen: a request that is sent often counts a crash for each backend server that crashes beside it, and could be refused. Cause: InboundCrashes forgot what the backend server had completed as soon as it saw the crash, before the running requests were judged by it. Found by reading; the new InboundCrashes.test.ts failed on it (reported instead of not) and passes: the memory is cleared with the first request of the next start. The platform's programs are not affected: there the next announcement clears it.

--- a/src/proxy/InboundCrashes.ts
+++ b/src/proxy/InboundCrashes.ts
@@ -21,6 +21,8 @@
     readonly observer: CrashObserver;
     /** Announcements state no start, so the crashes that were seen are counted. */
     starts: number;
+    /** True from a crash until the first request after it. */
+    hasCrashed: boolean;
     /** Shared by all requests whose connections break together. Resolves to the start that crashed. */
     check: Promise<number | undefined> | undefined;
 };
@@ -42,6 +44,10 @@
         backend: LocalBackend,
     ): (outcome: AttemptOutcome) => Promise<CrashReport | undefined> {
         const state = this.stateOf(backend);
+        if (state.hasCrashed) {
+            state.hasCrashed = false;
+            state.observer.onNewStart();
+        }
         const end = state.observer.begin(this.readRequest(headers));
         return async (outcome) => {
             const start = outcome === AttemptOutcome.Broken ? await this.crashedStart(state, backend) : undefined;
@@ -74,7 +80,7 @@
         }
         // The wall clock tells the starts apart that were seen before and after a restart of this process.
         const starts = Math.floor(this.options.clock.wallMs());
-        const created = { observer: new CrashObserver(this.options), starts, check: undefined };
+        const created = { observer: new CrashObserver(this.options), starts, hasCrashed: false, check: undefined };
         this.backends.set(key, created);
         return created;
     }
@@ -85,7 +91,7 @@
             if (!isRefused) {
                 return undefined;
             }
-            state.observer.onNewStart();
+            state.hasCrashed = true;
             state.starts += 1;
             return state.starts;
         });
