A trial that fails unexpectedly does not block later ones

Cause, found by reading: a run was ended only with its result, so that an error on the way would have left the backend server with a trial in progress and all later ones refused until its node restarts. The test failed (the second trial was refused) and passes; both call paths end the run in this case too.

--- a/src/calls/CrashGuard.ts
+++ b/src/calls/CrashGuard.ts
@@ -49,7 +49,10 @@
         }
         const { crashRank, fingerprint, isTrial, service } = request;
         const end = this.observer.begin({ crashRank, fingerprint, isTrial });
-        const result = await send();
+        const result = await send().catch((error: unknown) => {
+            end({ kind: "other" });
+            throw error;
+        });
         if (result.kind !== "unknown" || result.reason !== "backend-ended") {
             const isCompleted = result.kind === "answered" && !isServerError(result.answer.status);
             end({ kind: isCompleted ? "completed" : "other" });
--- a/src/calls/__tests__/CrashGuard.test.ts
+++ b/src/calls/__tests__/CrashGuard.test.ts
@@ -111,6 +111,21 @@
     });
 });
 
+describe("CrashGuard, with a request that fails unexpectedly,", () => {
+    // Guards against a backend server that refuses all trials for good.
+    test("still runs the next trial", async () => {
+        const guard = new CrashGuard({
+            clock: new SystemClock(),
+            evidence: createCrashEvidence(),
+            isPlannedEnd: () => false,
+        });
+        const request = sampleRequest("r", { fingerprint: "f", isTrial: true });
+        const failing = guard.run(request, instance, () => Promise.reject(new Error("an invalid header")));
+        await expect(failing).rejects.toThrow("an invalid header");
+        expect(await guard.run(request, instance, () => Promise.resolve(answered))).toBe(answered);
+    });
+});
+
 describe("CallReceiver", () => {
     // Guards against a request that was already waiting or on its way when the third backend server crashed.
     test("refuses a waiting and an arriving request at once when it becomes known that it crashes backend servers", async () => {
--- a/src/proxy/InboundServer.ts
+++ b/src/proxy/InboundServer.ts
@@ -167,7 +167,10 @@
         if ("status" in result) {
             // Only this node reports crashes, not the backend server.
             const headers = withoutHeaders(result.headers, [proxyHeaders.crashReport]);
-            const isComplete = await relayResponse(response, { ...result, headers });
+            const isComplete = await relayResponse(response, { ...result, headers }).catch(async (error: unknown) => {
+                await end(AttemptOutcome.Cancelled);
+                throw error;
+            });
             await end(isComplete || signal.aborted ? result.outcome : AttemptOutcome.Broken);
             return;
         }
