--- a/src/calls/IngressOptions.ts
+++ b/src/calls/IngressOptions.ts
@@ -18,7 +18,17 @@
     readonly stages: readonly IngressStage[];
     readonly chooseService: (route: MeshRoute) => string;
     readonly onRefusal: (refusal: RefusedRequest) => void;
-    readonly onServed: (status: number, elapsedMs: number) => void;
+    readonly onServed: (request: ServedRequest) => void;
+};
+
+/** A request that was answered with the response of a backend server. */
+type ServedRequest = {
+    readonly requestId: string;
+    readonly route: string;
+    readonly status: number;
+    readonly elapsedMs: number;
+    /** How long after its target the response came; negative if it was on time. */
+    readonly lateMs: number;
 };
 
 /** A request that this node refused or could not complete, and why. */
--- a/src/calls/IngressServer.ts
+++ b/src/calls/IngressServer.ts
@@ -223,6 +223,7 @@
         const remainingMs = requestedMs > 0 ? requestedMs : route.timeoutMs;
         const deadlineMs = arrivedMs + Math.min(route.timeoutMs, remainingMs);
         const firstSentMs = arrivedMs - this.callerTimeouts.elapsedMs(route.name, remainingMs);
+        const targetAtMs = firstSentMs + route.targetLatencyMs;
         const service = chooseService(route);
         const result = await dispatcher.dispatch({
             route,
@@ -239,13 +240,20 @@
                 priority,
                 ...(account !== undefined && { account }),
             },
-            targetAtMs: firstSentMs + route.targetLatencyMs,
+            targetAtMs,
             deadlineMs,
             signal,
         });
         if (result.kind === "answered") {
-            onServed(result.answer.status, clock.monotonicMs() - arrivedMs);
             const { answer } = result;
+            const nowMs = clock.monotonicMs();
+            onServed({
+                requestId,
+                route: route.name,
+                status: answer.status,
+                elapsedMs: nowMs - arrivedMs,
+                lateMs: nowMs - targetAtMs,
+            });
             this.answer(exchange, answer.body.length, (isLast) => writeResponse(exchange.response, answer, isLast));
             return true;
         }
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -83,6 +83,7 @@
     });
 
     metrics.zoneTraffic.observe(network, zone);
+    metrics.zoneTraffic.logPeriodically(log, resources);
     const confirmation = new LeadershipConfirmation(() => consensus.readBarrier());
     const leases = resources.add(
         new LeaseGrantor({
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -16,6 +16,7 @@
 import { CrashGuard } from "../calls/CrashGuard";
 import { HealthCheckClient } from "../calls/HealthCheckClient";
 import { IngressServer } from "../calls/IngressServer";
+import { isServerError } from "../calls/isServerError";
 import { LeavingBackends } from "../calls/LeavingBackends";
 import { readyBackends } from "../calls/readyBackends";
 import { RouteStatistics } from "../calls/RouteStatistics";
@@ -124,6 +125,7 @@
         leaseRemainingMs: () => routes?.accounts && lease?.remainingMs(),
     });
     metrics.zoneTraffic.observe(network, zone);
+    metrics.zoneTraffic.logPeriodically(log, resources);
     const crashEvidence: CrashEvidenceTask = resources.add(
         new CrashEvidenceTask({
             clock,
@@ -347,7 +349,19 @@
                 metrics.countRequest(refusal.status, refusal.reason, refusal.elapsedMs);
                 log.infoRateLimited("request-refused", { request: requestId, ...refusal });
             },
-            onServed: (status, elapsedMs) => metrics.countRequest(status, "", elapsedMs),
+            onServed: ({ elapsedMs, lateMs, requestId, route, status }) => {
+                metrics.countRequest(status, "", elapsedMs);
+                const isFailed = isServerError(status);
+                if (isFailed || lateMs > 0) {
+                    log.infoRateLimited(isFailed ? "request-failed" : "request-late", {
+                        request: requestId,
+                        route,
+                        status,
+                        elapsedMs: Math.round(elapsedMs),
+                        lateMs: Math.round(lateMs),
+                    });
+                }
+            },
         }),
     );
 
--- a/src/metrics/ZoneTraffic.ts
+++ b/src/metrics/ZoneTraffic.ts
@@ -1,4 +1,6 @@
 import { Counter, Registry } from "prom-client";
+import { DisposableStore } from "../core/DisposableStore";
+import { EventLog } from "../core/EventLog";
 import { MemberRecord } from "../membership/MemberRecord";
 import { parseAddress } from "../transport/parseAddress";
 import { PeerNetwork } from "../transport/PeerNetwork";
@@ -8,6 +10,13 @@
 /** Whether the receiver is in this process's zone; unknown until gossip has told the zone of its host. */
 type Destination = "own" | "other" | "unknown";
 
+/** Names of log fields have no hyphens: `loadReportsOther`. */
+const fieldNameOf = ({ destination, kind }: { readonly kind: string; readonly destination: string; }): string =>
+    `${kind}-${destination}`.replace(/-(.)/g, (_, letter: string) => letter.toUpperCase());
+
+/** A process that is killed loses the counts since its last line. */
+const LOG_INTERVAL_MS = 5_000;
+
 /**
  * Counts the bytes that this process sends to its own zone and to others, by kind. Counted are frames with messages, not
  * handshakes, empty heartbeat frames and the headers of TCP and IP.
@@ -39,6 +48,18 @@
         });
     }
 
+    /** Logs the bytes of each kind and destination since the start, at intervals and when the store is disposed of. */
+    public logPeriodically(log: EventLog, resources: DisposableStore): void {
+        const write = (): void => {
+            if (this.bytes.size > 0) {
+                const totals = [...this.bytes.values()];
+                log.info("bytes-sent", Object.fromEntries(totals.map((total) => [fieldNameOf(total), total.bytes])));
+            }
+        };
+        resources.every(LOG_INTERVAL_MS, write);
+        resources.add({ dispose: write });
+    }
+
     public updateMembers(members: readonly MemberRecord[]): void {
         this.zoneByHost = new Map(
             members.flatMap(({ peerAddress, zone }) => {
--- a/src/metrics/__tests__/ZoneTraffic.test.ts
+++ b/src/metrics/__tests__/ZoneTraffic.test.ts
@@ -1,4 +1,8 @@
 import { Registry } from "prom-client";
+import { DisposableStore } from "../../core/DisposableStore";
+import { EventLog } from "../../core/EventLog";
+import { HybridClock } from "../../core/HybridClock";
+import { SystemClock } from "../../core/SystemClock";
 import { MemberRecord } from "../../membership/MemberRecord";
 import { Channel } from "../../transport/Channel";
 import { PeerNetwork } from "../../transport/PeerNetwork";
@@ -51,4 +55,14 @@
         expect(valueOf("load-reports")).toBeLessThan(80);
         expect(valueOf("responses") + valueOf("load-reports")).toBe(1_000);
     });
+
+    test("logs the bytes by kind and destination when the process stops", async () => {
+        const lines: string[] = [];
+        const output = { write: (line: string) => lines.push(line) };
+        const log = new EventLog("node-1", new HybridClock(new SystemClock()), output);
+        const resources = new DisposableStore();
+        traffic.logPeriodically(log, resources);
+        await resources.dispose();
+        expect(lines).toEqual([expect.stringMatching(/event=bytes-sent .*requestsOwn=400 requestsOther=500 /)]);
+    });
 });
--- a/src/timeline/readTimeline.ts
+++ b/src/timeline/readTimeline.ts
@@ -20,10 +20,17 @@
     && (!filter.version || filter.version === fields.get("version"))
     && (!filter.requestId || filter.requestId === fields.get("request"));
 
-const readFile = async (path: string, filter: TimelineFilter): Promise<readonly TimelineEvent[]> => {
+const readFile = async (
+    path: string,
+    filter: TimelineFilter,
+    onSkipped: () => void,
+): Promise<readonly TimelineEvent[]> => {
     const events: TimelineEvent[] = [];
     for await (const line of createInterface({ input: createReadStream(path) })) {
         const fields = parseLogLine(line);
+        if (!fields) {
+            onSkipped();
+        }
         const event = fields && toEvent(fields);
         if (event && matchesFilter(event, filter)) {
             events.push(event);
@@ -40,11 +47,15 @@
     return left.process < right.process ? -1 : 1;
 };
 
-/** Reads the event logs of all processes and merges them in causal order. Lines that are not events are skipped. */
+/**
+ * Reads the event logs of all processes and merges them in causal order. Lines that are not events are skipped.
+ * @param onSkipped is called for each skipped line
+ */
 export const readTimeline = async (
     paths: readonly string[],
     filter: TimelineFilter,
+    onSkipped: () => void = () => undefined,
 ): Promise<readonly TimelineEvent[]> => {
-    const events = await Promise.all(paths.map((path) => readFile(path, filter)));
+    const events = await Promise.all(paths.map((path) => readFile(path, filter, onSkipped)));
     return events.flat().sort(compareEvents);
 };
