Requests stay in their zone on wide links too unless they would likely be late

Cause: with a wide link each request was sent to the backend server with the lowest cost in milliseconds. A kilobyte counted as 10 ms, so that reads left for any faster backend server: 52% of them in the simulated load, although 21% have to. Hypothesis: bytes are halved and no fewer requests are served if the first attempt follows ZoneRouting on wide links as on narrow ones, without admission by zone at the receiver, and later attempts choose freely. Change: BackendSelector always routes by zone; the limits that suit narrow links depend on the link alone.

--- a/src/calls/BackendSelector.ts
+++ b/src/calls/BackendSelector.ts
@@ -20,23 +20,27 @@
     readonly backendsOf: (service: string) => ZonedBackends;
     /** Returns those of the version that is in service apart from a running rollout. */
     readonly stableBackendsOf: (service: string) => ZonedBackends;
-    /** Undefined unless this node's link is narrow. */
-    readonly narrowLink?: {
-        readonly zone: string;
-        readonly linkBytesPerMs: number;
-        readonly pricePerKilobyte: number;
-        /** Called for each attempt with the zone that it is sent to. */
-        readonly onChoice: (service: string, zone: string, reason: ZoneReason) => void;
-    };
+    readonly zone: string;
+    readonly linkBytesPerMs: number;
+    readonly pricePerKilobyte: number;
+    /** Called for each attempt for which a zone was chosen. */
+    readonly onChoice: (service: string, zone: string, reason: ZoneReason) => void;
 };
 
+/**
+ * Below this bandwidth (100 Mbit/s) requests that are tried again stay in their zone too unless `ZoneRouting` lets them
+ * leave, and backend servers admit requests of other zones after those of their own.
+ */
+const NARROW_LINK_BYTES_PER_MS = 12_500;
+
 /** Chooses the zone and the backend server of each attempt from what this node knows. */
 export class BackendSelector {
-    private readonly routing: ZoneRouting | undefined;
+    private readonly routing: ZoneRouting;
+    private readonly hasNarrowLink: boolean;
 
     public constructor(private readonly options: SelectorOptions) {
-        const { narrowLink, random } = options;
-        this.routing = narrowLink && new ZoneRouting({ ...narrowLink, random });
+        this.routing = new ZoneRouting(options);
+        this.hasNarrowLink = options.linkBytesPerMs < NARROW_LINK_BYTES_PER_MS;
     }
 
     /**
@@ -44,7 +48,7 @@
      * @param tried nodes at which the request was already attempted
      */
     public select(call: SelectedCall, tried: ReadonlySet<string>): RoutableBackend | undefined {
-        const { backendsOf, clock, narrowLink, random, statistics, views } = this.options;
+        const { backendsOf, clock, onChoice, random, statistics, views } = this.options;
         const { routeName, service, targetAtMs } = call;
         const nowMs = clock.monotonicMs();
         const input: Parameters<typeof pickBackend>[0] = {
@@ -57,12 +61,12 @@
             routeServiceMs: statistics.serviceMs(routeName),
             random,
         };
-        if (!this.routing) {
+        if (tried.size > 0 && !this.hasNarrowLink) {
             return pickBackend(input);
         }
         const choice = this.routing.choose(call, input);
         if (choice) {
-            narrowLink?.onChoice(service, choice.backend.zone, choice.reason);
+            onChoice(service, choice.backend.zone, choice.reason);
         }
         return choice?.backend;
     }
@@ -90,7 +94,6 @@
 
     /** True if requests to this backend server leave the zone and this node's link is narrow. */
     public leavesZone({ zone }: RoutableBackend): boolean {
-        const { narrowLink } = this.options;
-        return narrowLink !== undefined && zone !== narrowLink.zone;
+        return this.hasNarrowLink && zone !== this.options.zone;
     }
 }
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -14,6 +14,7 @@
 import { RouteStatistics } from "../RouteStatistics";
 import { splitByZone } from "../splitByZone";
 import { sampleRequest } from "./sampleRequest";
+import { sampleZoneSettings } from "./sampleZoneSettings";
 
 const answered: CallResult = {
     kind: "answered",
@@ -62,6 +63,7 @@
             crashEvidence: createCrashEvidence(),
             isEvacuated: () => false,
             selector: new BackendSelector({
+                ...sampleZoneSettings,
                 clock,
                 random: new RandomSource(1),
                 views,
@@ -109,6 +111,7 @@
             crashEvidence: createCrashEvidence(),
             isEvacuated: () => true,
             selector: new BackendSelector({
+                ...sampleZoneSettings,
                 clock,
                 random: new RandomSource(1),
                 views,
@@ -178,6 +181,7 @@
                 crashEvidence,
                 isEvacuated: () => false,
                 selector: new BackendSelector({
+                    ...sampleZoneSettings,
                     clock,
                     random,
                     views,
--- a/src/calls/__tests__/CrashHost.ts
+++ b/src/calls/__tests__/CrashHost.ts
@@ -18,6 +18,7 @@
 import { RouteStatistics } from "../RouteStatistics";
 import { splitByZone } from "../splitByZone";
 import { sampleRequest } from "./sampleRequest";
+import { sampleZoneSettings } from "./sampleZoneSettings";
 
 type HostOptions = {
     readonly index: number;
@@ -100,6 +101,7 @@
             crashEvidence: this.evidence,
             isEvacuated: () => false,
             selector: new BackendSelector({
+                ...sampleZoneSettings,
                 clock,
                 random,
                 views,
--- a/src/calls/__tests__/ZonePolicy.ts
+++ b/src/calls/__tests__/ZonePolicy.ts
@@ -1,2 +1,5 @@
-/** The policies that are compared: that of wide links, `ZoneRouting`, and the filling of zones by their capacity. */
+/**
+ * The policies that are compared: a fixed cost of leaving the zone, `BackendSelector`, and the filling of zones by their
+ * capacity.
+ */
 export type ZonePolicy = "threshold" | "price" | "capacity";
--- a/src/calls/__tests__/createZoneHost.ts
+++ b/src/calls/__tests__/createZoneHost.ts
@@ -20,18 +20,18 @@
     readonly random: RandomSource;
     readonly linkBytesPerMs: number;
     readonly slots: number;
+    readonly speed: number;
     /** Returns the backend servers that gossip has announced. */
     readonly backends: () => readonly RoutableBackend[];
 };
 
 /** Creates a host whose node chooses backend servers by the policy. */
 export const createZoneHost = (options: HostOptions): ZoneHost => {
-    const { backends, clock, index, linkBytesPerMs, policy, random, slots, zone } = options;
+    const { backends, clock, index, linkBytesPerMs, policy, random, slots, speed, zone } = options;
     const nodeId = `node-${zone}-${index}`;
     const views = new BackendViews();
     const statistics = new RouteStatistics();
     const backendsOf = () => splitByZone(backends(), `${zone}`);
-    const narrowLink = { zone: `${zone}`, linkBytesPerMs, pricePerKilobyte: 0.005, onChoice: () => undefined };
     const selector = new BackendSelector({
         clock,
         random,
@@ -39,13 +39,20 @@
         statistics,
         backendsOf,
         stableBackendsOf: backendsOf,
-        narrowLink: policy === "price" ? narrowLink : undefined,
+        zone: `${zone}`,
+        linkBytesPerMs,
+        pricePerKilobyte: 0.005,
+        onChoice: () => undefined,
     });
-    const fill = fillByCapacity();
+    const alternative = policy === "price" ? undefined : policy === "threshold" ? pickBackend : fillByCapacity();
+    const isOtherZone = (backend: RoutableBackend): boolean => backend.zone !== `${zone}`;
+    const marksOtherZone = policy === "capacity" ? isOtherZone : selector.leavesZone.bind(selector);
     return {
         zone,
+        speed,
         views,
         statistics,
+        marksOtherZone: policy === "threshold" ? () => false : marksOtherZone,
         admission: new OtherZoneAdmission(),
         outstandingOf: new Map(),
         waiting: new Map(),
@@ -63,8 +70,8 @@
             warmAtMs: 0,
         },
         select: ({ priority, routeName }, targetAtMs, tried) =>
-            policy === "capacity"
-                ? fill(
+            alternative
+                ? alternative(
                     {
                         backends: backendsOf(),
                         viewOf: (backend: RoutableBackend) => views.viewOf(backend),
--- a/src/calls/__tests__/zoneLoad.ts
+++ b/src/calls/__tests__/zoneLoad.ts
@@ -17,6 +17,21 @@
     readonly isCutOff?: (zone: number, atMs: number) => boolean;
     readonly linkBytesPerMs?: number;
     readonly durationMs?: number;
+    /** How fast the backend server of each host of each zone is, 0 for a host without one; four of speed 1 by default. */
+    readonly speeds?: readonly (readonly number[])[];
+    readonly slots?: number;
+    readonly routes?: readonly Route[];
+};
+
+/** Requests of one kind. Their shares add up to 1. */
+type Route = {
+    readonly name: string;
+    readonly share: number;
+    readonly priority: number;
+    readonly targetMs: number;
+    readonly workMs: number;
+    readonly requestBytes: number;
+    readonly responseBytes: number;
 };
 
 type Ended = {
@@ -27,28 +42,19 @@
     readonly leftZone: boolean;
 };
 
-type Route = (typeof routes)[number];
-
-const routes = [
+const defaultRoutes: readonly Route[] = [
     { name: "small", share: 0.7, priority: 0, targetMs: 250, workMs: 40, requestBytes: 400, responseBytes: 600 },
     { name: "large", share: 0.3, priority: 2, targetMs: 600, workMs: 60, requestBytes: 12_000, responseBytes: 3_000 },
-] as const;
+];
 
 const answerOf = ({ responseBytes }: Route): CallResult => ({
     kind: "answered",
     answer: { status: 200, reason: "OK", headers: [], body: Buffer.alloc(responseBytes) },
 });
-const [small, large] = routes;
-const answers = { small: answerOf(small), large: answerOf(large) };
-const requests = {
-    small: { route: "small", headers: [], body: Buffer.alloc(small.requestBytes) },
-    large: { route: "large", headers: [], body: Buffer.alloc(large.requestBytes) },
-};
 
 const ZONES = 3;
-const HOSTS_PER_ZONE = 4;
-const SLOTS = 4;
-const MEAN_WORK_MS = routes.reduce((sum, { share, workMs }) => sum + share * workMs, 0);
+const DEFAULT_SPEEDS = [1, 1, 1, 1];
+const DEFAULT_SLOTS = 4;
 const DEADLINE_MS = 2_000;
 const LATENCY_MS = { own: 0.3, other: 1.2 } as const;
 const LINK_TIMEOUT_MS = 100;
@@ -60,7 +66,14 @@
 /** Plays a seeded load on the modules that choose and admit, with three zones of four hosts each. */
 export const playZones = (policy: ZonePolicy, load: Load, seed: number) => {
     const random = new RandomSource(seed);
-    const { durationMs = 12_000, linkBytesPerMs = LINK_BYTES_PER_MS } = load;
+    const { durationMs = 12_000, linkBytesPerMs = LINK_BYTES_PER_MS, routes = defaultRoutes } = load;
+    const { slots = DEFAULT_SLOTS, speeds = Array.from({ length: ZONES }, () => DEFAULT_SPEEDS) } = load;
+    const meanWorkMs = routes.reduce((sum, { share, workMs }) => sum + share * workMs, 0);
+    const answers = new Map(routes.map((route) => [route.name, answerOf(route)]));
+    const requests = new Map(routes.map(({ name, requestBytes }) => [
+        name,
+        { route: name, headers: [], body: Buffer.alloc(requestBytes) },
+    ]));
     let nowMs = 0;
     let crossBytes = 0;
     const ended: Ended[] = [];
@@ -73,15 +86,16 @@
     const hosts: ZoneHost[] = [];
     // Gossip tells a second after the loss of a zone that its backend servers are gone.
     const backends = (): readonly RoutableBackend[] =>
-        hosts.filter(({ zone }) => load.isServing?.(zone, nowMs - 1_000) ?? true).map(({ backend }) => backend);
+        hosts.filter(({ speed, zone }) => speed > 0 && (load.isServing?.(zone, nowMs - 1_000) ?? true))
+            .map(({ backend }) => backend);
     const isServing = (zone: number): boolean => load.isServing?.(zone, nowMs) ?? true;
     const isLinked = (left: number, right: number): boolean =>
         left === right || !(load.isCutOff?.(left, nowMs) || load.isCutOff?.(right, nowMs));
 
     for (let zone = 0; zone < ZONES; zone += 1) {
-        for (let index = 0; index < HOSTS_PER_ZONE; index += 1) {
-            hosts.push(createZoneHost({ policy, zone, index, clock, random, linkBytesPerMs, slots: SLOTS, backends }));
-        }
+        speeds[zone].forEach((speed, index) =>
+            hosts.push(createZoneHost({ policy, zone, index, clock, random, linkBytesPerMs, slots, speed, backends }))
+        );
     }
 
     /** Sends bytes over the sender's link and calls `onArrival` at the other host. */
@@ -103,7 +117,7 @@
         const { admission: otherZones, waiting } = to;
         const call = {
             priority: route.priority,
-            fromOtherZone: policy !== "threshold" && from.zone !== to.zone,
+            fromOtherZone: from.marksOtherZone(to.backend),
             targetRemainingMs: targetAtMs - nowMs,
         };
         const refuse = (): void => reply({ kind: "not-run", reason: "no-room", retryAfterMs: 0 });
@@ -120,10 +134,10 @@
             started.forEach((each) => waiting.get(each)?.(true));
         };
         const run = (): void => {
-            const workMs = logNormal(random, route.workMs);
+            const workMs = logNormal(random, route.workMs) / to.speed;
             at(nowMs + workMs, () => {
                 applyProgress(slotQueue.release(to.queue, route.name, workMs, nowMs));
-                reply(answers[route.name]);
+                reply(answers.get(route.name)!);
             });
         };
         const times = { arrivedMs: nowMs, targetAtMs, deadlineMs: targetAtMs + DEADLINE_MS };
@@ -168,7 +182,7 @@
         const left = leftZone || to.zone !== from.zone;
         const onResult = (result: CallResult): void => {
             from.views.end(nodeId, instanceId, result, nowMs);
-            from.statistics.recordAttempt(requests[route.name], result, nowMs - sentAtMs);
+            from.statistics.recordAttempt(requests.get(route.name)!, result, nowMs - sentAtMs);
             if (result.kind === "answered") {
                 finish(nowMs <= targetAtMs ? "on-time" : "late", left);
                 return;
@@ -207,10 +221,14 @@
         });
     };
 
+    const drawRoute = (fraction: number): Route => {
+        let remaining = fraction;
+        return routes.find(({ share }) => (remaining -= share) < 0) ?? routes[0];
+    };
     const arrive = (host: ZoneHost): void => {
-        const meanGapMs = MEAN_WORK_MS / SLOTS / Math.max(0.01, load.loadAt(host.zone, nowMs));
+        const meanGapMs = meanWorkMs / slots / Math.max(0.01, load.loadAt(host.zone, nowMs));
         const nextMs = nowMs - Math.log(1 - random.fraction()) * meanGapMs;
-        const route = random.fraction() < routes[0].share ? routes[0] : routes[1];
+        const route = drawRoute(random.fraction());
         attempt(host, route, nowMs, new Set());
         if (nextMs < durationMs) {
             at(nextMs, () => arrive(host));
--- a/src/calls/__tests__/zonePolicies.test.ts
+++ b/src/calls/__tests__/zonePolicies.test.ts
@@ -151,3 +151,66 @@
         expect(leftBySecond(0).at(-1)).toBeGreaterThan(0);
     });
 });
+
+describe("BackendSelector with wide links, for a service with few and uneven backend servers", () => {
+    const routes = [
+        {
+            name: "reads",
+            share: 0.88,
+            priority: 2,
+            targetMs: 400,
+            workMs: 150,
+            requestBytes: 300,
+            responseBytes: 5_200,
+        },
+        {
+            name: "writes",
+            share: 0.12,
+            priority: 1,
+            targetMs: 500,
+            workMs: 180,
+            requestBytes: 1_500,
+            responseBytes: 700,
+        },
+    ];
+    // Slots that the work of each zone's callers takes. All backend servers together have 44 at speed 1.
+    const work = [10, 10, 13.6];
+    const hosts = [[0.7, 0.7, 0, 0, 0], [1.6, 0, 0, 0], [0.7, 0, 0, 0]];
+    const slots = 12;
+    const loadOf = (factor: number, speeds = hosts): Load => ({
+        routes,
+        speeds,
+        slots,
+        linkBytesPerMs: 125_000,
+        loadAt: (zone) => (work[zone] * factor) / (speeds[zone].length * slots),
+    });
+    const swings = loadOf(1);
+    const uneven: Readonly<Record<string, Load>> = {
+        "as usual": loadOf(1),
+        "more requests": loadOf(1.3),
+        "a zone without a backend server": loadOf(0.9, [hosts[0], hosts[1], [0, 0, 0, 0]]),
+        "swings": {
+            ...swings,
+            durationMs: 19_000,
+            loadAt: (zone, atMs) =>
+                swings.loadAt(zone, atMs) * (1 + 0.4 * Math.sin(2 * Math.PI * (atMs / 11_000 + zone / 3))),
+        },
+        "zone lost": { ...swings, isServing: (zone, atMs) => zone !== 2 || atMs < 4_000 },
+    };
+    const unevenSeeds = [31, 32, 33];
+    const playUneven = (name: string, policy: ZonePolicy) =>
+        unevenSeeds.map((seed) => playZones(policy, uneven[name], seed));
+
+    // Guards against requests that leave the zone although they would be on time in it.
+    test.each(["as usual", "more requests", "swings"])("sends at most two thirds of the bytes: %s", (name) => {
+        const [threshold, selector] = [playUneven(name, "threshold"), playUneven(name, "price")];
+        expect(bytesOf(selector)).toBeLessThan((bytesOf(threshold) * 2) / 3);
+        expect(badOf(selector)).toBeLessThan(badOf(threshold) + 0.01);
+    });
+
+    test.each(["a zone without a backend server", "zone lost"])("sends fewer bytes: %s", (name) => {
+        const [threshold, selector] = [playUneven(name, "threshold"), playUneven(name, "price")];
+        expect(bytesOf(selector)).toBeLessThan(0.9 * bytesOf(threshold));
+        expect(badOf(selector)).toBeLessThan(badOf(threshold) + 0.01);
+    });
+});
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -67,9 +67,6 @@
 /** Fraction of the shared retry ratio that each node uses, so that all nodes together stay below the shared budget. */
 const NODE_RETRY_BUDGET_FRACTION = 0.5;
 
-/** Below this bandwidth (100 Mbit/s) requests leave their zone only as `ZoneRouting` decides. */
-const NARROW_LINK_BYTES_PER_MS = 12_500;
-
 /** Creates and starts a node of a deployment. */
 export const createDeploymentNode = async (settings: DeploymentNodeSettings): Promise<DeploymentNode> => {
     const { headerNames, peerAddress, secret, service: ownService, zone } = settings;
@@ -284,14 +281,10 @@
             statistics,
             backendsOf: (service) => directory.choose(service, random.fraction()),
             stableBackendsOf: (service) => directory.chooseStable(service),
-            narrowLink: settings.linkBytesPerMs < NARROW_LINK_BYTES_PER_MS
-                ? {
-                    zone,
-                    linkBytesPerMs: settings.linkBytesPerMs,
-                    pricePerKilobyte: settings.zonePricePerKilobyte,
-                    onChoice: (service, target, reason) => metrics.countZoneChoice(service, target, reason),
-                }
-                : undefined,
+            zone,
+            linkBytesPerMs: settings.linkBytesPerMs,
+            pricePerKilobyte: settings.zonePricePerKilobyte,
+            onChoice: (service, target, reason) => metrics.countZoneChoice(service, target, reason),
         }),
         allowance: {
             ratio: settings.retryRatio * NODE_RETRY_BUDGET_FRACTION,
