Nested calls go first at their last attempt and wait until their deadline

Cause: a call that a backend server makes for a request was given up once it would be late, after 15 to 20 ms of waiting with over 300 ms left, and without another attempt. Hypothesis: such a call may be refused while another backend server can be tried; at its last attempt it should go first and wait. Change: the sending node states with an attempt that no other follows; callerServices finds the routes of nested calls by where their requests come from; slotQueue starts short ones first at their last attempt. A waiting request is given up one run time of its own route before its deadline instead of one average run time.

--- a/src/calls/BackendQueue.ts
+++ b/src/calls/BackendQueue.ts
@@ -83,7 +83,8 @@
             this.scheduleNextStart();
             // Gives up one service time before the deadline, so that the sending node can still refuse the request as
             // not run.
-            outcome = this.waitForSlot(call, signal, call.deadlineMs - this.queue.serviceMs - call.arrivedMs);
+            const limitMs = call.deadlineMs - slotQueue.serviceMsOf(this.queue, call) - call.arrivedMs;
+            outcome = this.waitForSlot(call, signal, limitMs);
         }
         this.options.onChange(true);
         return outcome;
--- a/src/calls/BackendSelector.ts
+++ b/src/calls/BackendSelector.ts
@@ -86,6 +86,13 @@
         return first === undefined ? undefined : backends.get(first);
     }
 
+    /** True if a backend server of the service is known at which the request was not attempted. */
+    public hasUntried(service: string, tried: ReadonlySet<string>): boolean {
+        const { otherZones, sameZone } = this.options.backendsOf(service);
+        const isUntried = ({ nodeId }: RoutableBackend): boolean => !tried.has(nodeId);
+        return sameZone.some(isUntried) || otherZones.some(isUntried);
+    }
+
     /** True if the backend server has a free slot as far as this node knows. */
     public hasFreeSlot(backend: RoutableBackend): boolean {
         const { fromOtherNodes, outstanding } = this.options.views.viewOf(backend);
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -68,6 +68,7 @@
     readonly isHedge?: boolean;
     /** See `CallRequest`. */
     readonly isTrial?: boolean;
+    readonly isLastAttempt?: boolean;
 };
 
 /** Reasons for which an attempt fails without costing much time or any slot. */
@@ -113,7 +114,8 @@
                 return mayHaveRun ?? last ?? this.noBackendResult(call);
             }
             tried.add(choice.nodeId);
-            const ended = await this.attemptWithHedge(call, choice, tried, sent + 1, verdict);
+            const isLastAttempt = !this.mayTryElsewhere(call, tried, refusals);
+            const ended = await this.attemptWithHedge(call, choice, tried, sent + 1, verdict, isLastAttempt);
             last = ended.result;
             sent += ended.hedges;
             mayHaveRun = last.kind === "not-run" ? mayHaveRun : last;
@@ -163,6 +165,17 @@
         this.refusals.set(key, refusalShare.record(this.refusals.get(key) ?? refusalShare.empty, isRefused, nowMs));
     }
 
+    /** True if the request is tried at another backend server in case the next one refuses it. */
+    private mayTryElsewhere(call: DispatchedCall, tried: ReadonlySet<string>, refusals: number): boolean {
+        return refusals < this.maximumRefusals(call) && this.options.selector.hasUntried(call.service, tried);
+    }
+
+    /** How many refusals of a request for want of capacity are followed by another attempt. */
+    private maximumRefusals(call: DispatchedCall): number {
+        const state = this.refusals.get(this.refusalKey(call)) ?? refusalShare.empty;
+        return refusalShare.maximumRetries(state, this.options.clock.monotonicMs());
+    }
+
     private selectUntried(
         { request, route, service, targetAtMs }: DispatchedCall,
         tried: ReadonlySet<string>,
@@ -185,15 +198,17 @@
         tried: Set<string>,
         attempt: number,
         verdict: CrashVerdict,
+        isLastAttempt: boolean,
     ): Promise<HedgedResult> {
         const delayMs = this.options.statistics.hedgeDelayMs(call.route.name);
         const mayHedge = isIdempotent(call.route) && attempt < call.route.maximumAttempts && verdict.kind === "free";
         if (!mayHedge || delayMs === undefined) {
             const isTrial = verdict.kind === "trial";
-            return { result: await this.attempt(call, choice, attempt, call.signal, { isTrial }), hedges: 0 };
+            const kind = { isTrial, isLastAttempt };
+            return { result: await this.attempt(call, choice, attempt, call.signal, kind), hedges: 0 };
         }
         const { hedged, result } = await raceWithHedge({
-            first: (signal) => this.attempt(call, choice, attempt, signal),
+            first: (signal) => this.attempt(call, choice, attempt, signal, { isLastAttempt }),
             chooseSecond: () => this.chooseHedge(call, tried, attempt + 1),
             delayMs,
             signal: call.signal,
@@ -220,7 +235,7 @@
         choice: RoutableBackend,
         attempt: number,
         signal: AbortSignal,
-        { isHedge = false, isTrial = false }: AttemptKind = {},
+        { isHedge = false, isLastAttempt = false, isTrial = false }: AttemptKind = {},
     ): Promise<CallResult> {
         const { calls, clock, coldRequestsPerSecond, crashEvidence, onAttempt, statistics, views } = this.options;
         const { instanceId, nodeId } = choice;
@@ -233,6 +248,7 @@
             ...(this.options.selector.leavesZone(choice) && { fromOtherZone: true }),
             ...(crashRank > 0 && { crashRank }),
             ...(isTrial && { isTrial }),
+            ...(isLastAttempt && { isLastAttempt }),
             instanceId,
             remainingMs: Math.floor(call.deadlineMs - startedMs),
             targetRemainingMs: Math.floor(call.targetAtMs - startedMs),
@@ -279,8 +295,7 @@
         if (result.kind === "not-run" ? result.reason === "crashes-backends" : !isIdempotent(route)) {
             return false;
         }
-        const refusalState = this.refusals.get(this.refusalKey(call)) ?? refusalShare.empty;
-        if (sent >= route.maximumAttempts || refusals > refusalShare.maximumRetries(refusalState, nowMs)) {
+        if (sent >= route.maximumAttempts || refusals > this.maximumRefusals(call)) {
             return false;
         }
         return sent === 0 || retryBudget.mayRetry(this.budgetOf(call), allowance, nowMs);
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -5,6 +5,7 @@
 import { BackendNotice } from "./BackendNotice";
 import { BackendQueue } from "./BackendQueue";
 import { BackendStatements } from "./BackendStatements";
+import { callerServices } from "./callerServices";
 import { CallRequest } from "./CallRequest";
 import { CallResult } from "./CallResult";
 import { CrashGuard } from "./CrashGuard";
@@ -68,6 +69,7 @@
     private readonly limits: LocalBackendLimits;
     private readonly queue: BackendQueue;
     private readonly otherZones = new OtherZoneAdmission();
+    private callers = callerServices.empty;
     private failureShare = 0;
     private lastKey = 0;
     private active = 0;
@@ -149,6 +151,7 @@
         const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal };
         this.active += 1;
         this.otherZones.record(from, request, call.arrivedMs);
+        this.callers = callerServices.record(this.callers, request.route, request.callerService);
         if (this.limitInEffect) {
             this.sendingNodes.record(from, call.arrivedMs);
         }
@@ -230,7 +233,7 @@
     }
 
     private toWaiting(request: CallRequest, arrivedMs: number) {
-        const { fingerprint, remainingMs, requestId, route, targetRemainingMs } = request;
+        const { fingerprint, isLastAttempt, remainingMs, requestId, route, targetRemainingMs } = request;
         const priority = this.otherZones.priorityOf(request);
         this.lastKey += 1;
         const targetAtMs = arrivedMs + targetRemainingMs;
@@ -239,6 +242,7 @@
             requestId,
             fingerprint,
             route,
+            isLastNested: isLastAttempt && callerServices.isNested(this.callers, route),
             priority,
             arrivedMs,
             targetAtMs,
--- a/src/calls/CallRequest.ts
+++ b/src/calls/CallRequest.ts
@@ -26,6 +26,8 @@
     readonly isTrial?: boolean;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** True if the sending node will not try the request at another backend server. */
+    readonly isLastAttempt?: boolean;
     /**
      * Requests a second that a cold backend server of the service tolerates, as known to the sending node; absent
      * without a limit. The receiver uses it until it has a configuration.
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -98,14 +98,19 @@
     });
 
     /** Dispatches one request; `resultOf` gives the result of each attempt. Returns the result and the tried nodes. */
-    const dispatchOnce = async (nodes: readonly RoutableBackend[], resultOf: (nodeId: string) => CallResult) => {
+    const dispatchOnce = async (
+        nodes: readonly RoutableBackend[],
+        resultOf: (nodeId: string, request: CallRequest) => CallResult,
+    ) => {
+        const send = (nodeId: string, _address: string, request: CallRequest): Promise<CallResult> =>
+            Promise.resolve(resultOf(nodeId, request));
         const clock = new SystemClock();
         const views = new BackendViews();
         const statistics = new RouteStatistics();
         const tried: string[] = [];
         const dispatcher = new CallDispatcher({
             clock,
-            calls: { send: (nodeId: string) => Promise.resolve(resultOf(nodeId)) } as unknown as CallTask,
+            calls: { send } as unknown as CallTask,
             views,
             statistics,
             crashEvidence: createCrashEvidence(),
@@ -133,6 +138,16 @@
         return { result, tried };
     };
 
+    test("tells the backend server when a request is not tried at another one", async () => {
+        const nodes = ["e1", "e2"].map((nodeId) => ({ ...backends[0], nodeId }));
+        const last: (boolean | undefined)[] = [];
+        await dispatchOnce(nodes, (_, { isLastAttempt }) => {
+            last.push(isLastAttempt);
+            return { kind: "not-run", reason: "no-room", retryAfterMs: 0 };
+        });
+        expect(last).toEqual([undefined, true]);
+    });
+
     test("refuses a request at once with the reason if every zone is evacuated", async () => {
         const { result, tried } = await dispatchOnce([], () => answered);
         expect(result).toMatchObject({ kind: "not-run", reason: "evacuated" });
--- /dev/null
+++ b/src/calls/__tests__/callerServices.test.ts
@@ -0,0 +1,53 @@
+import { callerServices } from "../callerServices";
+
+type Requests = readonly { readonly route: string; readonly from: readonly string[]; readonly count: number; }[];
+
+const learn = (requests: Requests) => {
+    let state = callerServices.empty;
+    for (const { count, from, route } of requests) {
+        for (let request = 0; request < count; request += 1) {
+            state = callerServices.record(state, route, from[request % from.length]);
+        }
+    }
+    return state;
+};
+
+const services = ["desk", "dispatch", "store"];
+
+describe("callerServices", () => {
+    test("finds the route that only backend servers of one service call", () => {
+        const state = learn([
+            { route: "details", from: ["desk"], count: 100 },
+            { route: "uploads", from: services, count: 30 },
+        ]);
+        expect(callerServices.isNested(state, "details")).toBe(true);
+        expect(callerServices.isNested(state, "uploads")).toBe(false);
+    });
+
+    // Guards against short reads of callers that are served before all other requests until everything is late.
+    test("does not take a route for nested that callers on hosts of all services use", () => {
+        const state = learn([
+            { route: "reads", from: services, count: 300 },
+            { route: "writes", from: services, count: 100 },
+        ]);
+        expect(callerServices.isNested(state, "reads")).toBe(false);
+    });
+
+    test("takes no route for nested after a few requests, or if all of them come from one service", () => {
+        expect(callerServices.isNested(
+            learn([
+                { route: "details", from: ["desk"], count: 10 },
+                { route: "uploads", from: services, count: 30 },
+            ]),
+            "details",
+        )).toBe(false);
+        expect(callerServices.isNested(learn([{ route: "reads", from: ["desk"], count: 100 }]), "reads")).toBe(false);
+    });
+
+    test("keeps at most 200 routes", () => {
+        const state = learn(
+            Array.from({ length: 300 }, (_, index) => ({ route: `r-${index}`, from: ["desk"], count: 1 })),
+        );
+        expect(state.size).toBe(200);
+    });
+});
--- a/src/calls/__tests__/overload.test.ts
+++ b/src/calls/__tests__/overload.test.ts
@@ -9,6 +9,7 @@
     readonly meanWorkMs: number;
     readonly targetMs: number;
     readonly deadlineMs: number;
+    readonly isLastNested?: boolean;
 };
 
 /** The requests of one route at a backend server. */
@@ -66,7 +67,7 @@
         nextAtMs[index] -= Math.log(1 - random.fraction()) * (load.meanWorkMs / slots / load.loadFactor);
         completeUntil(nowMs);
         arrivals.push({ atMs: nowMs, load });
-        const call = { key, route: load.route, priority: 1, arrivedMs: nowMs };
+        const call = { key, route: load.route, priority: 1, arrivedMs: nowMs, isLastNested: load.isLastNested };
         const times = { targetAtMs: nowMs + load.targetMs, deadlineMs: nowMs + load.deadlineMs };
         const admission = slotQueue.offer(queue, { ...call, ...times }, nowMs);
         queue = admission.state;
@@ -118,7 +119,7 @@
     // The short calls are made by other backend servers while they serve requests, which fail if a call is refused. Of
     // their target latency of 120 ms, the way here and an earlier attempt have used a half.
     const long = { route: "uploads", meanWorkMs: 190, targetMs: 500, deadlineMs: 2_000 };
-    const short = { route: "details", meanWorkMs: 30, targetMs: 60, deadlineMs: 340 };
+    const short = { route: "details", meanWorkMs: 30, targetMs: 60, deadlineMs: 340, isLastNested: true };
     const play = (loadFactor: number) =>
         simulateRoutes(
             [{ ...long, loadFactor: loadFactor * 0.6 }, { ...short, loadFactor: loadFactor * 0.4 }],
@@ -128,8 +129,8 @@
     const refusedShareOf = (outcomes: readonly Outcome[]): number =>
         shareOf(outcomes, "refused-at-once") + shareOf(outcomes, "refused-after-waiting");
 
-    // KNOWN-RED 16. Passes as long as the check fails; a mend turns it red, and makes it an ordinary test again.
-    test.failing.each([0.9, 1, 1.2])("refuses hardly any of the calls at %d times the capacity", (loadFactor) => {
+    // Guards against requests that fail because a call made for them was given up long before its deadline.
+    test.each([0.9, 1, 1.2])("refuses hardly any of the calls at %d times the capacity", (loadFactor) => {
         expect(refusedShareOf(play(loadFactor)[1])).toBeLessThan(0.01);
     });
 
--- a/src/calls/serviceTimes.ts
+++ b/src/calls/serviceTimes.ts
@@ -5,6 +5,8 @@
     readonly samples: number;
     /** The same moving average by route, since requests of one route take similar time. */
     readonly routeServiceMs: ReadonlyMap<string, number>;
+    /** The longest of these. */
+    readonly longestRouteMs: number;
 };
 
 /** Assumed until requests have finished: a medium request of an ordinary service. */
@@ -16,7 +18,12 @@
 /** Limit of the routes of one service whose service times are kept. */
 const MAXIMUM_ROUTES = 200;
 
-const initial: ServiceTimes = { serviceMs: INITIAL_SERVICE_MS, samples: 0, routeServiceMs: new Map() };
+const initial: ServiceTimes = {
+    serviceMs: INITIAL_SERVICE_MS,
+    samples: 0,
+    routeServiceMs: new Map(),
+    longestRouteMs: 0,
+};
 
 const movingAverage = (current: number | undefined, sample: number): number =>
     current === undefined ? sample : current + SERVICE_TIME_WEIGHT * (sample - current);
@@ -38,11 +45,13 @@
 const record = (current: ServiceTimes, route: string, sampleMs: number): ServiceTimes => {
     const routeAverageMs = movingAverage(current.routeServiceMs.get(route), sampleMs);
     const samples = current.samples + 1;
+    const routeServiceMs = withRouteTime(current.routeServiceMs, route, routeAverageMs);
     const weight = Math.max(SERVICE_TIME_WEIGHT, 1 / samples);
     return {
         serviceMs: current.serviceMs + weight * (sampleMs - current.serviceMs),
         samples,
-        routeServiceMs: withRouteTime(current.routeServiceMs, route, routeAverageMs),
+        routeServiceMs,
+        longestRouteMs: Math.max(...routeServiceMs.values()),
     };
 };
 
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -12,6 +12,8 @@
     /** Responses after this are late. */
     readonly targetAtMs: number;
     readonly deadlineMs: number;
+    /** True if a backend server needs the response for a request that it runs, and no other one is asked for it. */
+    readonly isLastNested?: boolean;
 };
 
 /** The slots of one backend server and the requests that wait for them. */
@@ -51,6 +53,9 @@
 const LATE_WAIT_SHARE = 0.5;
 const LATE_WAIT_SLOTS = 2;
 
+/** A request is short if it runs at most this share of the time that those of the longest route here run. */
+const SHORT_SHARE = 0.5;
+
 /** Least retry-after time: one round trip between hosts and some work. */
 const MINIMUM_RETRY_AFTER_MS = 20;
 
@@ -66,6 +71,17 @@
 const serviceMsOf = ({ routeServiceMs, serviceMs }: SlotQueueState, { route }: WaitingCall): number =>
     routeServiceMs.get(route) ?? serviceMs;
 
+/**
+ * True for a short nested request that can't be tried elsewhere. It is started first and may be late: that costs the
+ * others little, while a refusal would waste the work of the longer request that needs it.
+ */
+const isShortAndLast = (state: SlotQueueState, call: WaitingCall): boolean => {
+    const routeMs = state.routeServiceMs.get(call.route);
+    return call.isLastNested === true
+        && routeMs !== undefined
+        && routeMs <= state.longestRouteMs * SHORT_SHARE;
+};
+
 /** Slots that requests or a health check hold. */
 const usedSlots = ({ active, isChecking }: SlotQueueState): number => active + (isChecking ? 1 : 0);
 
@@ -111,19 +127,26 @@
     canMeetDeadline(state, call, ahead, nowMs)
     && (state.samples < MINIMUM_SAMPLES
         || canBeOnTime(state, call, startMs)
+        || isShortAndLast(state, call)
         || isBrieflyLate(state, call, ahead, nowMs));
 
 /**
- * Sorts requests that can still be on time before late ones, so that a backlog of late requests does not make all
- * others late too; then by priority; then those on time by the nearest target, and those late by the most time left.
+ * Sorts short nested requests at their last attempt first, by the nearest deadline. Of the others, those that can still be on
+ * time come before late ones, so that a backlog of late requests does not make all others late too; then by priority;
+ * then those on time by the nearest target, and those late by the most time left.
  */
 const byUrgency = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
+    const short: WaitingCall[] = [];
     const onTime: WaitingCall[] = [];
     const late: WaitingCall[] = [];
-    calls.forEach((call) => (canBeOnTime(state, call, nowMs) ? onTime : late).push(call));
+    for (const call of calls) {
+        const group = isShortAndLast(state, call) ? short : canBeOnTime(state, call, nowMs) ? onTime : late;
+        group.push(call);
+    }
+    short.sort((left, right) => left.deadlineMs - right.deadlineMs);
     onTime.sort((left, right) => left.priority - right.priority || left.targetAtMs - right.targetAtMs);
     late.sort((left, right) => left.priority - right.priority || right.deadlineMs - left.deadlineMs);
-    return [...onTime, ...late];
+    return [...short, ...onTime, ...late];
 };
 
 /**
@@ -224,6 +247,7 @@
  */
 export const slotQueue = {
     create,
+    serviceMsOf,
     offer,
     advance,
     release,
