With a wide link, a request whose zone can't be reached always leaves it

Cause: found by reading. Change: with a wide link, BackendSelector falls back to pickBackend if the choice is in back-off or there is none.

--- a/src/calls/BackendSelector.ts
+++ b/src/calls/BackendSelector.ts
@@ -2,6 +2,7 @@
 import { RandomSource } from "../core/RandomSource";
 import { rankByRendezvous } from "../core/rankByRendezvous";
 import { BackendViews } from "./BackendViews";
+import { isInBackoff } from "./isInBackoff";
 import { pickBackend } from "./pickBackend";
 import { RoutableBackend } from "./RoutableBackend";
 import { RouteStatistics } from "./RouteStatistics";
@@ -65,6 +66,9 @@
             return pickBackend(input);
         }
         const choice = this.routing.choose(call, input);
+        if (!this.hasNarrowLink && (!choice || isInBackoff(views.viewOf(choice.backend), nowMs))) {
+            return pickBackend(input);
+        }
         if (choice) {
             onChoice(service, choice.backend.zone, choice.reason);
         }
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -75,7 +75,7 @@
  * True for a short nested request that can't be tried elsewhere. It is started first and may be late: that costs the
  * others little, while a refusal would waste the work of the longer request that needs it.
  */
-const isShortAndLast = (state: SlotQueueState, call: WaitingCall): boolean => {
+const startsFirst = (state: SlotQueueState, call: WaitingCall): boolean => {
     const routeMs = state.routeServiceMs.get(call.route);
     return call.isLastNested === true
         && routeMs !== undefined
@@ -127,20 +127,20 @@
     canMeetDeadline(state, call, ahead, nowMs)
     && (state.samples < MINIMUM_SAMPLES
         || canBeOnTime(state, call, startMs)
-        || isShortAndLast(state, call)
+        || startsFirst(state, call)
         || isBrieflyLate(state, call, ahead, nowMs));
 
 /**
- * Sorts short nested requests at their last attempt first, by the nearest deadline. Of the others, those that can still be on
- * time come before late ones, so that a backlog of late requests does not make all others late too; then by priority;
- * then those on time by the nearest target, and those late by the most time left.
+ * Sorts short nested requests at their last attempt first, by the nearest deadline. Of the others, those that can still
+ * be on time come before late ones, so that a backlog of late requests does not make all others late too; then by
+ * priority; then those on time by the nearest target, and those late by the most time left.
  */
 const byUrgency = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
     const short: WaitingCall[] = [];
     const onTime: WaitingCall[] = [];
     const late: WaitingCall[] = [];
     for (const call of calls) {
-        const group = isShortAndLast(state, call) ? short : canBeOnTime(state, call, nowMs) ? onTime : late;
+        const group = startsFirst(state, call) ? short : canBeOnTime(state, call, nowMs) ? onTime : late;
         group.push(call);
     }
     short.sort((left, right) => left.deadlineMs - right.deadlineMs);
