Metrics and a log line tell what the slots of a backend server were used for

The counter filbertdeal_backend_slot_seconds_total is kept by priority and outcome, the line slot-usage by route each second. No decision changes.

--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -31,6 +31,8 @@
     readonly drainGraceMs: number;
     /** Called when the backend server states a limit or a leaving that differs from what it stated before. */
     readonly onNotice: (instance: LocalInstance, notice: BackendNotice) => void;
+    /** Called for each request that held a slot. `lateMs` is negative if it ended before its target. */
+    readonly onRun: (request: CallRequest, result: CallResult, slotMs: number, lateMs: number) => void;
     /** Called for each request that did not end with a response. */
     readonly onNotServed: (request: CallRequest, result: CallResult, details: QueueDetails) => void;
 };
@@ -39,6 +41,7 @@
     readonly waitedMs: number;
     readonly waiting: number;
     readonly active: number;
+    readonly slots: number;
     readonly serviceMs: number;
     /** The limit on the rate of requests that holds them back, rather than the slots. */
     readonly limitedBy: "stated" | "cold" | undefined;
@@ -85,6 +88,11 @@
         return this.active;
     }
 
+    /** Slots of the backend server of this host. */
+    public get slots(): number {
+        return this.queue.state.slots;
+    }
+
     public get localInstance(): LocalInstance | undefined {
         return this.statements.instance;
     }
@@ -257,8 +265,8 @@
 
     /** Occupies a slot while the backend server runs the request. */
     private async run(call: ReceivedCall, deadlineMs: number): Promise<CallResult> {
-        const { request, signal } = call;
-        const { client, crashGuard } = this.options;
+        const { arrivedMs, request, signal } = call;
+        const { client, crashGuard, onRun } = this.options;
         const startedMs = this.nowMs();
         let result: CallResult = signal.aborted ? cancelled : expired;
         const { instance } = this.statements;
@@ -271,6 +279,7 @@
         const nowMs = this.nowMs();
         this.failureShare = updateFailureShare(this.failureShare, result);
         this.limits.onResult(result, signal.aborted);
+        onRun(request, result, nowMs - startedMs, nowMs - arrivedMs - request.targetRemainingMs);
         const informative = result.kind === "answered" || (result.kind === "unknown" && result.reason === "timed-out");
         this.queue.leave(request.route, informative ? nowMs - startedMs : undefined);
         return result;
@@ -287,6 +296,7 @@
             waitedMs: Math.round(nowMs - arrivedMs),
             waiting: state.waiting.length,
             active: state.active,
+            slots: state.slots,
             serviceMs: Math.round(state.serviceMs),
             limitedBy: isLimited ? this.limitInEffect?.reason : undefined,
         });
--- a/src/calls/__tests__/CrashHost.ts
+++ b/src/calls/__tests__/CrashHost.ts
@@ -79,6 +79,7 @@
             onHealthCheck: () => undefined,
             drainGraceMs: 1_000,
             onNotice: () => undefined,
+            onRun: () => undefined,
             onNotServed: () => undefined,
         });
         const views = new BackendViews();
--- a/src/calls/__tests__/createReceiver.ts
+++ b/src/calls/__tests__/createReceiver.ts
@@ -32,6 +32,7 @@
         onHealthCheck: () => undefined,
         drainGraceMs: DRAIN_GRACE_MS,
         onNotice: () => undefined,
+        onRun: () => undefined,
         onNotServed: () => undefined,
     });
     receiver.updateInstance({
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Histogram } from "prom-client";
 import { ZoneReason } from "../calls/ZoneReason";
 import { ProcessMetrics } from "../metrics/ProcessMetrics";
+import { SlotUsage } from "../metrics/SlotUsage";
 
 /** Functions that return the current values of a node's gauges. */
 type NodeReadings = {
@@ -36,6 +37,7 @@
 
 /** The metrics of a node. Each label has only a few values and never holds an id. */
 export class NodeMetrics extends ProcessMetrics {
+    public readonly slotUsage = new SlotUsage(this.registry);
     private readonly requests: Counter;
     private readonly latency: Histogram;
     private readonly attempts: Counter;
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -154,9 +154,14 @@
                 log.infoRateLimited("health-check-failed", { instance, outcome });
             }
         },
-        onNotServed: ({ fingerprint, instanceId, requestId, service }, result, details) => {
+        onRun: (request, result, slotMs, lateMs) => metrics.slotUsage.recordRun(request, result, slotMs, lateMs),
+        onNotServed: (request, result, details) => {
+            const { fingerprint, instanceId, requestId, service } = request;
             const reason = result.kind === "answered" ? "answered" : result.reason;
             metrics.countRefusal(reason, details.limitedBy);
+            if (result.kind === "not-run") {
+                metrics.slotUsage.recordRefusal(request, details.active < details.slots);
+            }
             // Lines of their own, since the many requests that then find no backend server use up the others.
             log.infoRateLimited(reason === "backend-ended" ? reason : "call-not-served", {
                 request: requestId,
@@ -169,6 +174,7 @@
             });
         },
     });
+    metrics.slotUsage.logPeriodically(log, resources, () => receiver.slots);
     const evacuations = new NodeEvacuations({ ownZone: zone, log, directory, receiver });
     const bodyReceiver = new BodyReceiver({ clock, linkBytesPerMs: settings.linkBytesPerMs });
     const views = new BackendViews();
