--- a/src/calls/__tests__/CrashHost.ts
+++ b/src/calls/__tests__/CrashHost.ts
@@ -4,21 +4,13 @@
 import { createCrashEvidence } from "../../crashes/__tests__/createCrashEvidence";
 import { CrashEvidenceTask } from "../../crashes/CrashEvidenceTask";
 import { CrashReport } from "../../crashes/CrashReport";
-import { BackendClient } from "../BackendClient";
-import { BackendSelector } from "../BackendSelector";
-import { BackendViews } from "../BackendViews";
 import { CallDispatcher } from "../CallDispatcher";
 import { CallReceiver } from "../CallReceiver";
 import { CallRequest } from "../CallRequest";
 import { CallResult } from "../CallResult";
-import { CallTask } from "../CallTask";
-import { CrashGuard } from "../CrashGuard";
-import { HealthCheckClient } from "../HealthCheckClient";
 import { RoutableBackend } from "../RoutableBackend";
-import { RouteStatistics } from "../RouteStatistics";
-import { splitByZone } from "../splitByZone";
+import { createCallHost } from "./createCallHost";
 import { sampleRequest } from "./sampleRequest";
-import { sampleZoneSettings } from "./sampleZoneSettings";
 
 type HostOptions = {
     readonly index: number;
@@ -65,54 +57,17 @@
             spread,
             onRefused: (...refused) => this.receiver.refuseCrashing(...refused),
         });
-        this.receiver = new CallReceiver({
-            clock,
-            client: {
-                send: (_address: string, request: CallRequest, _timeoutMs: number, signal: AbortSignal) =>
-                    this.runRequest(request, signal),
-                closeIdle: () => undefined,
-            } as unknown as BackendClient,
-            crashGuard: new CrashGuard({ clock, evidence: this.evidence, isPlannedEnd: () => false }),
-            healthChecks: {} as HealthCheckClient,
-            cold: { overage: 1, slack: 0 },
-            onColdChange: () => undefined,
-            onHealthCheck: () => undefined,
-            drainGraceMs: 1_000,
-            onNotice: () => undefined,
-            onRun: () => undefined,
-            onNotServed: () => undefined,
-        });
-        const views = new BackendViews();
-        const statistics = new RouteStatistics();
-        const stableBackendsOf = (service: string) =>
-            splitByZone(backends().filter((backend) => backend.service === service), zone);
-        this.dispatcher = new CallDispatcher({
+        const { dispatcher, receiver } = createCallHost({
+            zone,
             clock,
-            calls: {
-                send: (
-                    nodeId: string,
-                    _address: string,
-                    request: CallRequest,
-                    _idempotent: boolean,
-                    signal: AbortSignal,
-                ) => send(nodeId, request, signal),
-            } as unknown as CallTask,
-            views,
-            statistics,
-            crashEvidence: this.evidence,
-            isEvacuated: () => false,
-            selector: new BackendSelector({
-                ...sampleZoneSettings,
-                clock,
-                random,
-                views,
-                statistics,
-                backendsOf: stableBackendsOf,
-                stableBackendsOf,
-            }),
-            allowance: { ratio: 0.1, windowMs: 10_000, slack: 1 },
-            onAttempt: () => undefined,
+            random,
+            evidence: this.evidence,
+            backends,
+            send,
+            run: (request, signal) => this.runRequest(request, signal),
         });
+        this.dispatcher = dispatcher;
+        this.receiver = receiver;
         this.announce(slots);
     }
 
