A nested call is refused at once if more urgent requests leave it no slot before its deadline

Cause: the expected wait counts who is before the call now, not the more urgent requests that arrive later and start first. Change: urgentLoad keeps the share of the slots that each priority takes; a nested call at its last attempt expects to wait that much longer.

--- a/src/calls/__tests__/overload.test.ts
+++ b/src/calls/__tests__/overload.test.ts
@@ -10,6 +10,8 @@
     readonly targetMs: number;
     readonly deadlineMs: number;
     readonly isLastNested?: boolean;
+    /** 1 by default. */
+    readonly priority?: number;
 };
 
 /** The requests of one route at a backend server. */
@@ -67,7 +69,8 @@
         nextAtMs[index] -= Math.log(1 - random.fraction()) * (load.meanWorkMs / slots / load.loadFactor);
         completeUntil(nowMs);
         arrivals.push({ atMs: nowMs, load });
-        const call = { key, route: load.route, priority: 1, arrivedMs: nowMs, isLastNested: load.isLastNested };
+        const { isLastNested, priority = 1, route } = load;
+        const call = { key, route, priority, arrivedMs: nowMs, isLastNested };
         const times = { targetAtMs: nowMs + load.targetMs, deadlineMs: nowMs + load.deadlineMs };
         const admission = slotQueue.offer(queue, { ...call, ...times }, nowMs);
         queue = admission.state;
@@ -139,3 +142,27 @@
         expect(shareOf(uploads, "on-time")).toBeGreaterThan(0.85);
     });
 });
+
+describe("slotQueue with nested calls behind more urgent requests that fill the slots", () => {
+    const urgent = {
+        route: "releases",
+        loadFactor: 1.1,
+        meanWorkMs: 60,
+        targetMs: 200,
+        deadlineMs: 1_200,
+        priority: 0,
+    };
+    const nested = { route: "details", loadFactor: 0.8, meanWorkMs: 20, targetMs: 100, deadlineMs: 250, priority: 2 };
+    const play = () => simulateRoutes([urgent, { ...nested, isLastNested: true }], 6, 7);
+
+    // Guards against backend servers that wait for nested calls which get no slot before their deadline.
+    test("refuses most of the nested calls at once", () => {
+        const [, details] = play();
+        expect(shareOf(details, "refused-at-once")).toBeGreaterThan(2 * shareOf(details, "refused-after-waiting"));
+    });
+
+    test("serves the urgent requests as if there were no others", () => {
+        const alone = simulateRoutes([urgent], 6, 7)[0];
+        expect(shareOf(play()[0], "on-time")).toBeGreaterThan(shareOf(alone, "on-time") - 0.05);
+    });
+});
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -1,5 +1,6 @@
 import { serviceTimes } from "./serviceTimes";
 import { startLimits } from "./startLimits";
+import { urgentLoad } from "./urgentLoad";
 
 /** A request that waits for a slot of the backend server. Times are those of the node's monotonic clock. */
 type WaitingCall = {
@@ -24,6 +25,7 @@
     /** True if a slot is kept for a health check, which is due or runs. */
     readonly isChecking: boolean;
     readonly limits: typeof startLimits.none;
+    readonly urgent: typeof urgentLoad.empty;
 };
 
 /** What happens to a request that arrives. */
@@ -63,6 +65,7 @@
     ...serviceTimes.initial,
     isChecking: false,
     limits: startLimits.none,
+    urgent: urgentLoad.empty,
 });
 
 const serviceMsOf = ({ routeServiceMs, serviceMs }: SlotQueueState, { route }: WaitingCall): number =>
@@ -90,20 +93,32 @@
         startLimits.expectedWaitMs(state.limits, ahead, state.serviceMs, nowMs),
     );
 
+/**
+ * The same for a request that would wait until its deadline: more urgent ones that arrive in that time start before it.
+ */
+const expectedLongWaitMs = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): number =>
+    expectedWaitMs(state, ahead, nowMs)
+    / (1 - urgentLoad.shareBefore(state.urgent, call.priority, state.slots, nowMs));
+
 const mayStart = (state: SlotQueueState, nowMs: number): boolean =>
     usedSlots(state) < state.slots && startLimits.waitMs(state.limits, 0, nowMs) === 0;
 
-const start = (state: SlotQueueState, nowMs: number): SlotQueueState => ({
+const start = (state: SlotQueueState, call: WaitingCall, nowMs: number): SlotQueueState => ({
     ...state,
     active: state.active + 1,
     limits: startLimits.take(state.limits, nowMs),
+    urgent: urgentLoad.record(state.urgent, call.priority, serviceMsOf(state, call), nowMs),
 });
 
 const canBeOnTime = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
     nowMs + serviceMsOf(state, call) * ON_TIME_MARGIN <= call.targetAtMs;
 
-const canMeetDeadline = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean =>
-    nowMs + expectedWaitMs(state, ahead, nowMs) + serviceMsOf(state, call) <= call.deadlineMs;
+const canMeetDeadline = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean => {
+    const waitMs = call.isLastNested === true
+        ? expectedLongWaitMs(state, call, ahead, nowMs)
+        : expectedWaitMs(state, ahead, nowMs);
+    return nowMs + waitMs + serviceMsOf(state, call) <= call.deadlineMs;
+};
 
 /** True if a request that will be late waits only briefly. */
 const isBrieflyLate = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean => {
@@ -145,7 +160,7 @@
  */
 const offer = (state: SlotQueueState, call: WaitingCall, nowMs: number): Admission => {
     if (state.waiting.length === 0 && mayStart(state, nowMs)) {
-        return { kind: "start", state: start(state, nowMs) };
+        return { kind: "start", state: start(state, call, nowMs) };
     }
     const waiting = byUrgency(state, [...state.waiting, call], nowMs);
     const ahead = waiting.indexOf(call);
@@ -171,7 +186,7 @@
             expired.push(call.key);
         }
         else if (mayStart(current, nowMs)) {
-            current = start(current, nowMs);
+            current = start(current, call, nowMs);
             started.push(call.key);
         }
         else {
