A route counts as nested only if chance does not explain where its requests come from

Before nested calls took their parents' priority they went before all others instead. Cause: a route counted as nested after 20 requests if another one had come from more services. With most callers on hosts of one service, 20 requests often come from it alone. The class: a decision on too few samples, and never revised. Evidence: callerServices.test.ts, "…whose few requests come from one service by chance", fails without the change.

--- a/src/calls/__tests__/callerServices.test.ts
+++ b/src/calls/__tests__/callerServices.test.ts
@@ -33,6 +33,33 @@
         expect(callerServices.isNested(state, "reads")).toBe(false);
     });
 
+    // Guards against callers' requests that get the priority of others, on a host that has just started and whose callers
+    // are nearly all on hosts of one service.
+    test("does not take a route for nested whose few requests come from one service by chance", () => {
+        const mostlyDesk = ["desk", "desk", "desk", "desk", "desk", "desk", "desk", "dispatch"];
+        const state = learn([
+            { route: "reads", from: mostlyDesk, count: 80 },
+            { route: "orders", from: ["desk"], count: 40 },
+        ]);
+        expect(callerServices.isNested(state, "orders")).toBe(false);
+        expect(callerServices.isNested(
+            learn([
+                { route: "reads", from: mostlyDesk, count: 80 },
+                { route: "details", from: ["desk"], count: 200 },
+            ]),
+            "details",
+        )).toBe(true);
+    });
+
+    test("takes no route for nested any more once a request comes from another service", () => {
+        const state = learn([
+            { route: "reads", from: services, count: 60 },
+            { route: "exports", from: ["desk"], count: 1_200 },
+            { route: "exports", from: services, count: 3 },
+        ]);
+        expect(callerServices.isNested(state, "exports")).toBe(false);
+    });
+
     test("takes no route for nested after a few requests, or if all of them come from one service", () => {
         expect(callerServices.isNested(
             learn([
