A route that is served far less often than all at a backend server goes first there

What callers saw: in the simulated load with 3 of 4 backend servers lost, kinds at the end of the order got nothing while the shortage lasted: prices 0 of 373 beside calls for more urgent requests; nested calls of the least urgent requests 0.025 of what was asked, less than a quarter of the share of all (0.043). Cause: the order by priority gives the last kind what is left, and under a lasting shortage that is nothing. Change: servedShares counts, by route, requests that got a slot and those refused that are not tried elsewhere; a route below half of the share of all goes first. Evidence: nestedLoad.test.ts, "serves no route less than a quarter as often as all there", fails without the change for 2 of 3 loads.

--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -253,6 +253,7 @@
             requestId,
             fingerprint,
             route,
+            isLastAttempt,
             isLastNested: isLastAttempt && callerServices.isNested(this.callers, route) === true,
             priority,
             arrivedMs,
--- a/src/calls/__tests__/NestedLoad.ts
+++ b/src/calls/__tests__/NestedLoad.ts
@@ -59,7 +59,7 @@
  * that of Jest's fake timers.
  */
 export class NestedLoad {
-    /** What became of the requests of callers, by kind. */
+    /** What became of the requests of callers and of nested calls, by kind. */
     public readonly results = new Map<string, KindResult>();
     /** Slot time in ms by service and outcome. */
     public readonly slotMs = new Map<string, number>();
@@ -92,10 +92,11 @@
         await pauseMs(3_000);
     }
 
-    /** Share of the callers' requests of a kind that ended with success, in time or late. */
-    public servedShare(kind: string): number {
-        const { asked, inTime, late } = this.results.get(kind)!;
-        return (inTime + late) / asked;
+    /** Share of the requests of these kinds that ended with success, in time or late. */
+    public servedShare(...kinds: readonly string[]): number {
+        const results = kinds.map((kind) => this.results.get(kind)!);
+        const served = results.reduce((sum, { inTime, late }) => sum + inTime + late, 0);
+        return served / results.reduce((sum, { asked }) => sum + asked, 0);
     }
 
     private createHost(service: string, index: number, id: number, speed: number): Host {
--- a/src/calls/__tests__/nestedLoad.test.ts
+++ b/src/calls/__tests__/nestedLoad.test.ts
@@ -85,4 +85,13 @@
             );
         },
     );
+
+    // Guards against requests, or the nested calls of others, that get nothing while a shortage lasts.
+    test.each(Object.keys(loads))("serves no route less than a quarter as often as all there: %s", async (name) => {
+        const removals = [{ service: "store", count: 3, atMs: LOSS_AT_MS }];
+        const load = await runLoad({ ...deployment, kinds: loads[name].kinds, seed: 1, removals });
+        const routes = kinds.filter(({ service }) => service === "store").map((kind) => kind.name);
+        const all = load.servedShare(...routes);
+        routes.forEach((route) => expect(load.servedShare(route)).toBeGreaterThan(all / 4));
+    });
 });
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -1,3 +1,4 @@
+import { servedShares } from "./servedShares";
 import { serviceTimes } from "./serviceTimes";
 import { startLimits } from "./startLimits";
 import { urgentLoad } from "./urgentLoad";
@@ -13,6 +14,8 @@
     /** Responses after this are late. */
     readonly targetAtMs: number;
     readonly deadlineMs: number;
+    /** True if no other backend server is asked for the response. */
+    readonly isLastAttempt?: boolean;
     /** True if a backend server needs the response for a request that it runs, and no other one is asked for it. */
     readonly isLastNested?: boolean;
 };
@@ -26,6 +29,7 @@
     readonly isChecking: boolean;
     readonly limits: typeof startLimits.none;
     readonly urgent: typeof urgentLoad.empty;
+    readonly shares: typeof servedShares.empty;
 };
 
 /** What happens to a request that arrives. */
@@ -66,6 +70,7 @@
     isChecking: false,
     limits: startLimits.none,
     urgent: urgentLoad.empty,
+    shares: servedShares.empty,
 });
 
 const serviceMsOf = ({ routeServiceMs, serviceMs }: SlotQueueState, { route }: WaitingCall): number =>
@@ -108,6 +113,7 @@
     active: state.active + 1,
     limits: startLimits.take(state.limits, nowMs),
     urgent: urgentLoad.record(state.urgent, call.priority, serviceMsOf(state, call), nowMs),
+    shares: servedShares.record(state.shares, call.route, true, nowMs),
 });
 
 const canBeOnTime = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
@@ -140,26 +146,35 @@
 /**
  * Sorts requests that can still be on time before late ones, so that a backlog of late requests does not make all others
  * late too; then by priority; then those on time by the nearest target, and those late by the most time left. Nested
- * requests at their last attempt count as on time and go first within their priority.
+ * requests at their last attempt count as on time and go first within their priority. Requests of starved routes go before
+ * all others, so that each kind gets some of the slots while they are short.
  */
 const byUrgency = (state: SlotQueueState, calls: readonly WaitingCall[], nowMs: number): readonly WaitingCall[] => {
+    const starved: WaitingCall[] = [];
     const onTime: WaitingCall[] = [];
     const late: WaitingCall[] = [];
     for (const call of calls) {
-        (call.isLastNested === true || canBeOnTime(state, call, nowMs) ? onTime : late).push(call);
+        const isOnTime = call.isLastNested === true || canBeOnTime(state, call, nowMs);
+        const isFirst = isOnTime && servedShares.isStarved(state.shares, call.route, nowMs);
+        (isFirst ? starved : isOnTime ? onTime : late).push(call);
     }
+    starved.sort((left, right) => left.priority - right.priority || left.targetAtMs - right.targetAtMs);
     onTime.sort((left, right) =>
         left.priority - right.priority || nestedRank(left) - nestedRank(right) || left.targetAtMs - right.targetAtMs
     );
     late.sort((left, right) => left.priority - right.priority || right.deadlineMs - left.deadlineMs);
-    return [...onTime, ...late];
+    return [...starved, ...onTime, ...late];
 };
 
-/** Records that a request was refused. If it counted as late from the start, the cause is the average of its route. */
-const recordRefusal = (state: SlotQueueState, call: WaitingCall): SlotQueueState =>
-    call.targetAtMs > call.arrivedMs && !canBeOnTime(state, call, call.arrivedMs)
-        ? { ...state, ...serviceTimes.doubt(state, call.route) }
-        : state;
+/** Records that a request was refused. If it counted as late on arrival, the cause is the average of its route. */
+const recordRefusal = (state: SlotQueueState, call: WaitingCall, nowMs: number): SlotQueueState => {
+    const isLateAtArrival = call.targetAtMs > call.arrivedMs && !canBeOnTime(state, call, call.arrivedMs);
+    return {
+        ...state,
+        ...(isLateAtArrival && serviceTimes.doubt(state, call.route)),
+        ...(call.isLastAttempt === true && { shares: servedShares.record(state.shares, call.route, false, nowMs) }),
+    };
+};
 
 /**
  * Decides on a request that arrives: it starts, waits, or is refused at once because it could not be served in time.
@@ -174,7 +189,7 @@
     if (!mayWait(state, call, ahead, nowMs, nowMs + waitMs)) {
         const earliestMs = Math.max(MINIMUM_RETRY_AFTER_MS, waitMs);
         const promise = startLimits.promise(state.limits, earliestMs, nowMs);
-        const refused = recordRefusal(state, call);
+        const refused = recordRefusal(state, call, nowMs);
         return { kind: "refuse", state: { ...refused, limits: promise.limits }, retryAfterMs: promise.retryAfterMs };
     }
     return { kind: "wait", state: { ...state, waiting } };
@@ -191,7 +206,7 @@
         // because of an estimate of its wait.
         if (!mayWait(current, call, kept.length, nowMs, nowMs)) {
             expired.push(call.key);
-            current = recordRefusal(current, call);
+            current = recordRefusal(current, call, nowMs);
         }
         else if (mayStart(current, nowMs)) {
             current = start(current, call, nowMs);
