Nested calls of a starved route go first by the host that makes them, in turns

A request that makes two calls fails if one of them does. Cause: each call of a starved route was chosen by itself, so most served calls belonged to requests that failed at the other one. Change: a host has its turn for a second (callerTurn); of a starved route, nested calls of hosts that have their turn go first, and do not count when the route's share is taken. A call that goes first does not expect to wait behind more urgent ones. Evidence: nestedLoad.test.ts, "serves requests that make two calls at least half as often as the calls", fails without the change (0.033 against 0.058). A quarter of the share of all is not reached for them: KNOWN-RED 31, a test marked as failing.

--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -6,6 +6,7 @@
 import { BackendQueue } from "./BackendQueue";
 import { BackendStatements } from "./BackendStatements";
 import { callerServices } from "./callerServices";
+import { callerTurn } from "./callerTurn";
 import { CallRequest } from "./CallRequest";
 import { CallResult } from "./CallResult";
 import { CrashGuard } from "./CrashGuard";
@@ -202,7 +203,7 @@
     }
 
     /** Returns why a request would be refused now, or undefined if it would not. Nothing is reserved for it. */
-    public refusalOf(request: CallRequest): CallResult | undefined {
+    public refusalOf(from: string, request: CallRequest): CallResult | undefined {
         const nowMs = this.nowMs();
         if (!this.statements.accepts(request, nowMs)) {
             return this.notAccepted(request);
@@ -210,7 +211,7 @@
         if (this.otherZones.mustRefuse(request, this.queue.state, nowMs)) {
             return noRoom(this.queue.state.serviceMs);
         }
-        return this.options.crashGuard.refusalOf(request) ?? this.queue.refusalOf(this.toWaiting(request, nowMs));
+        return this.options.crashGuard.refusalOf(request) ?? this.queue.refusalOf(this.toWaiting(from, request, nowMs));
     }
 
     /** Expected time that a request takes once it has a slot. */
@@ -224,7 +225,7 @@
     }
 
     private async admit(call: ReceivedCall): Promise<CallResult> {
-        const { arrivedMs, request, signal } = call;
+        const { arrivedMs, from, request, signal } = call;
         if (!this.statements.accepts(request, arrivedMs)) {
             return this.notAccepted(request);
         }
@@ -236,16 +237,17 @@
             return crashRefused;
         }
         this.limits.learnFrom(request);
-        const waiting = this.toWaiting(request, arrivedMs);
+        const waiting = this.toWaiting(from, request, arrivedMs);
         const entered = this.queue.enter(waiting, signal);
         // A request that need not wait is sent at once, before other requests or announcements are handled.
         const refusal = entered instanceof Promise ? await entered : entered;
         return refusal ?? this.run(call, waiting.deadlineMs);
     }
 
-    private toWaiting(request: CallRequest, arrivedMs: number) {
+    private toWaiting(from: string, request: CallRequest, arrivedMs: number) {
         const { fingerprint, isLastAttempt, remainingMs, requestId, route, targetRemainingMs } = request;
         const priority = this.otherZones.priorityOf(request);
+        const isNested = callerServices.isNested(this.callers, route) === true;
         this.lastKey += 1;
         const targetAtMs = arrivedMs + targetRemainingMs;
         return {
@@ -254,7 +256,8 @@
             fingerprint,
             route,
             isLastAttempt,
-            isLastNested: isLastAttempt && callerServices.isNested(this.callers, route) === true,
+            isLastNested: isLastAttempt && isNested,
+            ...(isNested && { turn: callerTurn(from, arrivedMs) }),
             priority,
             arrivedMs,
             targetAtMs,
--- a/src/calls/ReceivedRequests.ts
+++ b/src/calls/ReceivedRequests.ts
@@ -79,7 +79,7 @@
     ): Promise<CallResult> {
         const { bodyReceiver, receiver } = this.options;
         const { signal } = runningRequest.controller;
-        const refusal = receiver.refusalOf(request);
+        const refusal = receiver.refusalOf(from, request);
         if (refusal) {
             return refusal;
         }
--- a/src/calls/__tests__/CallReceiver.test.ts
+++ b/src/calls/__tests__/CallReceiver.test.ts
@@ -103,7 +103,7 @@
         expect(receiver.updateEvacuation(true)).toBe(1);
         expect(await waiting).toMatchObject({ kind: "not-run", reason: "evacuated" });
         expect(await receive("r3")).toMatchObject({ kind: "not-run", reason: "evacuated" });
-        expect(receiver.refusalOf(sampleRequest("r4"))).toMatchObject({ reason: "evacuated" });
+        expect(receiver.refusalOf("e1", sampleRequest("r4"))).toMatchObject({ reason: "evacuated" });
         finish[0](answered);
         expect(await running).toBe(answered);
         expect(sent).toEqual(["r1"]);
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -47,7 +47,7 @@
     const createTask = (ownId: string, network: PeerNetwork) => {
         const receiver = {
             receive: (_from: string, received: CallRequest, signal: AbortSignal) => run(received, signal),
-            refusalOf: (request: CallRequest) => refusalOf(request),
+            refusalOf: (_from: string, request: CallRequest) => refusalOf(request),
             expectedMs: () => 10,
             loadFor: () => undefined,
         };
--- a/src/calls/__tests__/CrashGuard.test.ts
+++ b/src/calls/__tests__/CrashGuard.test.ts
@@ -159,8 +159,8 @@
         expect(await waiting).toMatchObject(refused);
         expect(await receive("arriving", "f")).toMatchObject(refused);
         // An upload is refused before its body is sent.
-        expect(created.refusalOf(sampleRequest("upload", { fingerprint: "f" }))).toMatchObject(refused);
-        expect(created.refusalOf(sampleRequest("upload", { fingerprint: "g" }))).toBeUndefined();
+        expect(created.refusalOf("e1", sampleRequest("upload", { fingerprint: "f" }))).toMatchObject(refused);
+        expect(created.refusalOf("e1", sampleRequest("upload", { fingerprint: "g" }))).toBeUndefined();
         expect([sent, isOtherSettled]).toEqual([["first"], false]);
         callers.abort();
     });
--- a/src/calls/__tests__/nestedLoad.test.ts
+++ b/src/calls/__tests__/nestedLoad.test.ts
@@ -94,4 +94,28 @@
         const all = load.servedShare(...routes);
         routes.forEach((route) => expect(load.servedShare(route)).toBeGreaterThan(all / 4));
     });
+
+    const runWithTwoCalls = (resends: number, seed: number): Promise<NestedLoad> => {
+        const calls = { kind: "details", times: 2, share: 1 };
+        return runLoad({
+            ...deployment,
+            kinds: kinds.map((kind) => kind.name === "reads" ? { ...kind, calls, resends } : kind),
+            seed,
+            removals: [{ service: "store", count: 3, atMs: LOSS_AT_MS }],
+        });
+    };
+
+    // Guards against requests that fail although many calls are served, each time because of another call.
+    test("serves requests that make two calls at least half as often as the calls", async () => {
+        const load = await runWithTwoCalls(0, 1);
+        expect(load.servedShare("reads")).toBeGreaterThan(load.servedShare("details") / 2);
+    });
+
+    // KNOWN-RED 31. Guards against a kind that starves through its calls.
+    test.failing("serves requests that make two calls a quarter as often as all requests", async () => {
+        const load = await runWithTwoCalls(2, 1);
+        expect(load.servedShare("reads")).toBeGreaterThan(
+            load.servedShare("reads", "orders", "releases", "prices") / 4,
+        );
+    });
 });
--- a/src/calls/servedShares.ts
+++ b/src/calls/servedShares.ts
@@ -39,8 +39,19 @@
     return { ended: ended + 1, served: served + (isServed ? 1 : 0), updatedAtMs };
 };
 
-/** Records that a request got a slot, or that it was refused for want of one and is not tried elsewhere. */
-const record = ({ all, routes }: ServedSharesState, route: string, isServed: boolean, nowMs: number) => {
+/**
+ * Records that a request got a slot, or that it was refused for want of one and is not tried elsewhere.
+ * @param route undefined if the request counts only for all routes together
+ */
+const record = (
+    { all, routes }: ServedSharesState,
+    route: string | undefined,
+    isServed: boolean,
+    nowMs: number,
+): ServedSharesState => {
+    if (route === undefined) {
+        return { routes, all: add(all, isServed, nowMs) };
+    }
     const next = new Map(routes).set(route, add(routes.get(route) ?? none, isServed, nowMs));
     if (next.size > MAXIMUM_ROUTES) {
         next.delete([...next.keys()][0]);
@@ -48,10 +59,14 @@
     return { routes: next, all: add(all, isServed, nowMs) };
 };
 
-const isStarved = ({ all, routes }: ServedSharesState, route: string, nowMs: number): boolean => {
-    const { ended, served } = decay(routes.get(route) ?? none, nowMs);
-    return ended >= MINIMUM_REQUESTS && served / ended < (STARVED_SHARE * all.served) / all.ended;
+/** The share of its requests below which a route is starved. */
+const minimumShare = ({ all }: ServedSharesState): number =>
+    all.ended > 0 ? (STARVED_SHARE * all.served) / all.ended : 0;
+
+const isStarved = (state: ServedSharesState, route: string, nowMs: number): boolean => {
+    const { ended, served } = decay(state.routes.get(route) ?? none, nowMs);
+    return ended >= MINIMUM_REQUESTS && served / ended < minimumShare(state);
 };
 
 /** Finds the routes that more urgent ones leave too little of a backend server. */
-export const servedShares = { empty, record, isStarved } as const;
+export const servedShares = { empty, record, minimumShare, isStarved } as const;
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -18,6 +18,8 @@
     readonly isLastAttempt?: boolean;
     /** True if a backend server needs the response for a request that it runs, and no other one is asked for it. */
     readonly isLastNested?: boolean;
+    /** For nested requests, the turn of the host that makes them, see `callerTurn`. */
+    readonly turn?: number;
 };
 
 /** The slots of one backend server and the requests that wait for them. */
@@ -108,19 +110,34 @@
 const mayStart = (state: SlotQueueState, nowMs: number): boolean =>
     usedSlots(state) < state.slots && startLimits.waitMs(state.limits, 0, nowMs) === 0;
 
+/**
+ * True if it is the turn of the host that makes a nested request: of the requests of a starved route, those of a part of
+ * the hosts go first. A request that makes several calls fails if one of them does, so they should fare alike.
+ */
+const hasTurn = ({ shares }: SlotQueueState, { turn }: WaitingCall): boolean =>
+    turn !== undefined && turn < servedShares.minimumShare(shares);
+
+/** True if the request goes before all others, since its route is starved. */
+const goesFirst = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
+    (call.turn === undefined || hasTurn(state, call)) && servedShares.isStarved(state.shares, call.route, nowMs);
+
+/** Counts how a request ended. Those that have their turn do not tell whether their route is starved. */
+const recordShare = (state: SlotQueueState, call: WaitingCall, isServed: boolean, nowMs: number) =>
+    servedShares.record(state.shares, hasTurn(state, call) ? undefined : call.route, isServed, nowMs);
+
 const start = (state: SlotQueueState, call: WaitingCall, nowMs: number): SlotQueueState => ({
     ...state,
     active: state.active + 1,
     limits: startLimits.take(state.limits, nowMs),
     urgent: urgentLoad.record(state.urgent, call.priority, serviceMsOf(state, call), nowMs),
-    shares: servedShares.record(state.shares, call.route, true, nowMs),
+    shares: recordShare(state, call, true, nowMs),
 });
 
 const canBeOnTime = (state: SlotQueueState, call: WaitingCall, nowMs: number): boolean =>
     nowMs + serviceMsOf(state, call) * ON_TIME_MARGIN <= call.targetAtMs;
 
 const canMeetDeadline = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean => {
-    const waitMs = call.isLastNested === true
+    const waitMs = call.isLastNested === true && !goesFirst(state, call, nowMs)
         ? expectedLongWaitMs(state, call, ahead, nowMs)
         : expectedWaitMs(state, ahead, nowMs);
     return nowMs + waitMs + serviceMsOf(state, call) <= call.deadlineMs;
@@ -155,7 +172,7 @@
     const late: WaitingCall[] = [];
     for (const call of calls) {
         const isOnTime = call.isLastNested === true || canBeOnTime(state, call, nowMs);
-        const isFirst = isOnTime && servedShares.isStarved(state.shares, call.route, nowMs);
+        const isFirst = isOnTime && goesFirst(state, call, nowMs);
         (isFirst ? starved : isOnTime ? onTime : late).push(call);
     }
     starved.sort((left, right) => left.priority - right.priority || left.targetAtMs - right.targetAtMs);
@@ -172,7 +189,7 @@
     return {
         ...state,
         ...(isLateAtArrival && serviceTimes.doubt(state, call.route)),
-        ...(call.isLastAttempt === true && { shares: servedShares.record(state.shares, call.route, false, nowMs) }),
+        ...(call.isLastAttempt === true && { shares: recordShare(state, call, false, nowMs) }),
     };
 };
 
