--- a/src/metrics/SlotUsage.ts
+++ b/src/metrics/SlotUsage.ts
@@ -12,6 +12,7 @@
 /** The slot time in ms that requests of one route used since the last log line, and how many were refused. */
 type RouteUsage = {
     readonly service: string;
+    /** Of the first request: nested calls of a route have those of the requests that they are made for. */
     readonly priority: number;
     readonly spentMs: Record<SlotOutcome, number>;
     runs: number;
