--- a/src/calls/__tests__/nestedLoad.test.ts
+++ b/src/calls/__tests__/nestedLoad.test.ts
@@ -46,8 +46,11 @@
         kinds: withPriorities({ reads: 0, releases: 1, prices: 2 }),
         order: ["reads", "releases", "prices"],
     },
-    // Both kinds make the same calls: of two kinds, one that needs fewer is served more often.
-    "calls for requests of unlike urgency": {
+    "calls for requests of unlike urgency, of which some make none": {
+        kinds: kinds.map((kind) => kind.name === "orders" ? { ...kind, perSecond: 60, calls: oneCall } : kind),
+        order: ["releases", "orders", "reads"],
+    },
+    "the same calls for requests of unlike urgency": {
         kinds: kinds.map((kind) => {
             const perSecond = kind.name === "orders" ? 60 : kind.perSecond;
             return kind.service === "desk" ? { ...kind, perSecond, calls: oneCall } : kind;
--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -346,7 +346,7 @@
 
     // Guards against nested requests for the least urgent callers that take all slots.
     test("starts a more urgent request before a nested one at its last attempt", () => {
-        let state = filled(1);
+        let state = { ...slotQueue.release(filled(1), "uploads", 400, 0).state, active: 1 };
         state = slotQueue.offer(state, { ...call(8, 1_000, 2, 20), isLastNested: true }, 0).state;
         state = slotQueue.offer(state, call(9, 1_000, 1, 900), 0).state;
         expect(slotQueue.release(state, "tiles", 50, 10).started).toEqual([9]);
