--- a/review/3/test.mjs
+++ b/review/3/test.mjs
@@ -10,66 +10,44 @@
 const RECORD = join(fileURLToPath(import.meta.url), "../record.txt");
 const isTroubled = process.env.TROUBLE !== "0";
 
-const COLD_PER_S = 13;
-const COLD_OVERAGE = 1.5;
-const COLD_SLACK = 8;
-const COLD_MS = 3_000;
-const LIMIT = COLD_PER_S * COLD_OVERAGE + COLD_SLACK;
-
-const HEARTBEAT_MS = 1_500;
-/** How long before the instance becomes cold it makes its last heartbeat, and when the last three arrive after that. */
-const LEAD_MS = 100;
-const ARRIVALS_MS = [250, 500, 750];
+const DRAIN_MS = 2_000;
+const CONTACT_MS = 3_000;
+/** How late the instance's last heartbeat arrives. */
+const LATE_MS = 2_500;
+/** When the node is killed, after it has acknowledged that the instance leaves. */
+const KILL_AFTER_MS = 300;
+/** How long the instance goes on serving after the acknowledgement. */
+const SERVES_MS = 9_000;
 
 const deployment = new Deployment({
     zones: ["bg-west-a", "bg-west-b"],
     controls: 3,
     nodes: [
-        { service: "canopy-map", zone: "bg-west-a" },
-        { service: "tree-survey", zone: "bg-west-b" },
-        { service: "tree-survey", zone: "bg-west-a" },
         { service: "tree-survey", zone: "bg-west-a" },
+        { service: "tree-survey", zone: "bg-west-b" },
+        { service: "tree-survey", zone: "bg-west-b" },
+        { service: "canopy-map", zone: "bg-west-a" },
+        { service: "canopy-map", zone: "bg-west-b" },
     ],
-    bounds: { ColdOverage: COLD_OVERAGE, ColdSlack: COLD_SLACK, Evacuate: "5000ms" },
 });
 
-/** The most requests that were sent and arrived inside one second of the cold time. */
-const busiestSecond = (arrivals, sentMs, fromMs, untilMs) => {
-    let most = { count: 0, fromMs };
-    for (let startMs = fromMs; startMs + 1_000 <= untilMs; startMs += 5) {
-        const count = arrivals.filter(({ arrivedMs, id }) =>
-            sentMs.get(id) >= startMs && arrivedMs >= startMs && arrivedMs <= startMs + 1_000
-        ).length;
-        most = count > most.count ? { count, fromMs: startMs } : most;
-    }
-    return most;
-};
-
 const run = async () => {
     await deployment.start();
-    const instances = deployment.nodes.map((node, index) =>
-        new Instance(deployment, node, { id: `i-${index + 1}`, slots: 6, workMs: 40 })
-    );
-    const [tested, ...others] = instances;
+    const instances = deployment.nodes.map((node, index) => new Instance(deployment, node, { id: `i-${index + 1}` }));
+    const [tested] = instances;
     const arrivals = [];
     tested.onArrival = (arrival) => arrivals.push(arrival);
-    await tested.start({ heartbeatMs: 0 });
-    await Promise.all(others.map((instance) => instance.start()));
+    await Promise.all(instances.map((instance) => instance.start()));
     const route = {
-        name: "tile-view",
+        name: "species-look",
         host: "map.example",
-        prefix: "/tiles/",
+        prefix: "/species/",
         kind: "idempotent",
-        timeoutMs: 1_500,
-        targetMs: 500,
-        service: "canopy-map",
+        timeoutMs: 1_200,
+        targetMs: 200,
+        service: "tree-survey",
     };
-    const body = configuration({
-        version: 1,
-        routes: [route],
-        services: ["canopy-map", "tree-survey"],
-        cold: { start: "3s", perSecond: COLD_PER_S },
-    });
+    const body = configuration({ version: 1, routes: [route], services: ["canopy-map", "tree-survey"] });
     const accepted = await deployment.order("POST", "/filbertdeal/Config.Put", {
         body,
         headers: { "Base-Version": "0" },
@@ -80,45 +58,49 @@
     await deployment.waitUntilReady();
     const callers = new Callers(deployment);
     for (const node of deployment.nodes) {
-        callers.run(node, { perSecond: 20, host: "map.example", path: "/tiles/1/2" });
+        callers.run(node, { perSecond: 10, host: "map.example", path: "/species/oak" });
+    }
+    await pause(5_000);
+    // Its last heartbeat, then it leaves by deregistering and goes on serving.
+    if (isTroubled) {
+        void tested.sendHeartbeat(LATE_MS);
     }
-    for (let beat = 0; beat < 4; beat += 1) {
+    else {
         await tested.sendHeartbeat();
-        await pause(HEARTBEAT_MS);
     }
-    // The last heartbeats before the instance becomes cold are on their way for longer than usual.
-    const beforeMs = ARRIVALS_MS.map((_, index) => LEAD_MS + (ARRIVALS_MS.length - 1 - index) * HEARTBEAT_MS);
-    for (const [index, arrivalMs] of ARRIVALS_MS.entries()) {
-        void tested.sendHeartbeat(isTroubled ? beforeMs[index] + arrivalMs : 0);
-        await pause(index < ARRIVALS_MS.length - 1 ? HEARTBEAT_MS : LEAD_MS);
+    await pause(100);
+    const { status } = await tested.deregister();
+    const acknowledgedMs = deployment.nowMs();
+    if (status !== 200) {
+        throw new Error("the deregistration was not acknowledged");
     }
-    const coldFromMs = deployment.nowMs();
-    tested.coldUntilMs = coldFromMs + COLD_MS;
-    deployment.record("becomes-cold", { instance: tested.id, forMs: COLD_MS });
-    await pause(HEARTBEAT_MS - LEAD_MS);
-    void tested.sendHeartbeat();
-    await pause(HEARTBEAT_MS);
-    void tested.sendHeartbeat();
-    await pause(1_000);
-    callers.stop();
-    const sentMs = new Map(callers.sent.map(({ id, sentMs: atMs }) => [id, atMs]));
-    const cold = arrivals.filter(({ arrivedMs }) => arrivedMs >= coldFromMs && arrivedMs <= coldFromMs + COLD_MS);
-    for (const { arrivedMs, id } of cold) {
-        const sinceColdMs = Math.round(arrivedMs - coldFromMs);
-        deployment.record("arrived-while-cold", { atMs: arrivedMs, request: id, sinceColdMs });
+    await pause(KILL_AFTER_MS);
+    const [node] = deployment.nodes;
+    if (isTroubled) {
+        deployment.signal(node, "SIGKILL");
     }
+    await pause(SERVES_MS - KILL_AFTER_MS);
+    tested.stop();
+    await pause(500);
+    callers.stop();
+    // All machines but that of the restarted node were in touch all along; it is again after `Contact`.
+    const inTouchMs = Math.max(acknowledgedMs + DRAIN_MS, isTroubled ? node.startedAtMs + CONTACT_MS : 0);
+    const sent = new Map(callers.sent.map((request) => [request.id, request]));
+    const late = arrivals.filter(({ arrivedMs, id }) => arrivedMs > inTouchMs && sent.get(id).sentMs > inTouchMs);
+    late.forEach(({ arrivedMs, id }) =>
+        deployment.record("arrived-after-drain", {
+            atMs: arrivedMs,
+            request: id,
+            from: sent.get(id).node,
+            sinceAcknowledgementMs: Math.round(arrivedMs - acknowledgedMs),
+            status: sent.get(id).status,
+        })
+    );
+    const served = callers.sent.filter(({ status: outcome }) => outcome === 200).length;
+    deployment.record("result", { arrivedLate: late.length, sent: callers.sent.length, served });
     deployment.recordRequests(callers.sent, instances);
-    const most = busiestSecond(arrivals, sentMs, coldFromMs, coldFromMs + COLD_MS);
-    const served = callers.sent.filter(({ status }) => status === 200).length;
-    deployment.record("result", {
-        limit: LIMIT,
-        mostInOneSecond: most.count,
-        fromMsAfterCold: Math.round(most.fromMs - coldFromMs),
-        sent: callers.sent.length,
-        served,
-    });
-    instances.forEach((instance) => instance.stop());
-    return most.count > LIMIT ? 1 : 0;
+    instances.slice(1).forEach((instance) => instance.stop());
+    return late.length > 0 ? 1 : 0;
 };
 
 await runCase(deployment, RECORD, run);
--- a/review/lib/Instance.mjs
+++ b/review/lib/Instance.mjs
@@ -27,6 +27,8 @@
         this.sockets = new Set();
         /** Decides how a run ends; returns the status of the response. */
         this.statusOf = () => 200;
+        /** How long a request runs. */
+        this.workMsOf = () => this.workMs;
         /** Returns further headers of the response. */
         this.headersOf = () => ({});
     }
@@ -146,7 +148,7 @@
             return;
         }
         this.runs.push(arrival);
-        await pause(this.workMs);
+        await pause(this.workMsOf(arrival));
         this.leave();
         const status = this.statusOf(arrival);
         response.writeHead(status, {
