--- a/review/3/test.mjs
+++ b/review/3/test.mjs
@@ -26,8 +26,10 @@
         { service: "tree-survey", zone: "bg-west-a" },
         { service: "tree-survey", zone: "bg-west-b" },
         { service: "tree-survey", zone: "bg-west-b" },
-        { service: "canopy-map", zone: "bg-west-a" },
-        { service: "canopy-map", zone: "bg-west-b" },
+        ...Array.from({ length: 7 }, (_, index) => ({
+            service: "canopy-map",
+            zone: index % 2 === 0 ? "bg-west-a" : "bg-west-b",
+        })),
     ],
 });
 
