A departure of a backend server is stored by other processes before it is acknowledged

Cause: deregistrations and the draining state lived in the memory of the process that had acknowledged them. Evidence: the second process logs instance-announced with the old start and leaving=false; without the kill, or without the late heartbeat, the case holds. The same for draining, SIGTERM, two kills, control away, all processes killed.

Change: DepartureTask sends a departure to the neighbours in the membership and to control and acknowledges it once they store it: both, one of them after 300 ms, 503 if nobody does. It works because what was acknowledged has been confirmed by a process that doesn't end with the node, and the next process hears it before it publishes its backend server. A later start is told apart by when it started.

--- a/src/calls/localInstances.ts
+++ b/src/calls/localInstances.ts
@@ -1,4 +1,3 @@
-import { DeregistrationNotice } from "./DeregistrationNotice";
 import { LocalInstance } from "./LocalInstance";
 
 /** What a backend server announces about itself. */
@@ -30,30 +29,17 @@
 const identifies = (reference: Start, start: Start): boolean =>
     reference.id === start.id && (reference.bornMs === 0 || reference.bornMs === start.bornMs);
 
-/**
- * Returns since when a start that was not known before is draining. If its first announcement already says that it is
- * draining, it first announced that to an earlier process of this node, at an unknown time.
- */
-const firstDrainingSinceMs = (
-    announcement: Announcement,
-    deregistration: DeregistrationNotice | undefined,
-): number | undefined => {
-    if (deregistration && identifies(deregistration, announcement)) {
-        return deregistration.sinceMs;
-    }
-    return announcement.leaving ? BEFORE_ANY_GRACE_MS : undefined;
-};
-
 /**
  * Applies an announcement. Draining is final for one start of an instance: a later "ready" of the same start does not
- * revert it.
- * @param deregistration that arrived before the first announcement of its start
+ * revert it. If the first announcement of a start says that it is draining, it told that to an earlier process of this
+ * node, at an unknown time.
+ * @param leftAtMs when the start left, if it did so before its first announcement to this process
  */
 const announce = (
     current: LocalInstance | undefined,
     announcement: Announcement,
     nowMs: number,
-    deregistration?: DeregistrationNotice,
+    leftAtMs?: number,
 ): LocalInstance | undefined => {
     if (isStale(current, announcement)) {
         return current;
@@ -62,24 +48,27 @@
     const sameStart = current?.id === announcement.id && current.bornMs === announcement.bornMs ? current : undefined;
     const drainingSinceMs = sameStart
         ? sameStart.drainingSinceMs ?? (leaving ? nowMs : undefined)
-        : firstDrainingSinceMs(announcement, deregistration);
+        : leftAtMs ?? (leaving ? BEFORE_ANY_GRACE_MS : undefined);
     return { ...instance, drainingSinceMs, warmAtMs: nowMs + coldRemainingMs };
 };
 
 const isKnown = (current: LocalInstance | undefined, id: string, bornMs: number): current is LocalInstance =>
     current !== undefined && identifies({ id, bornMs }, current);
 
-/** Marks the instance as draining for good. A deregistration of another instance or start changes nothing. */
+/**
+ * Marks the instance as draining for good. A deregistration of another instance or start changes nothing.
+ * @param sinceMs when it left
+ */
 const deregister = (
     current: LocalInstance | undefined,
     id: string,
     bornMs: number,
-    nowMs: number,
+    sinceMs: number,
 ): LocalInstance | undefined => {
     if (!isKnown(current, id, bornMs)) {
         return current;
     }
-    return { ...current, drainingSinceMs: current.drainingSinceMs ?? nowMs };
+    return { ...current, drainingSinceMs: current.drainingSinceMs ?? sinceMs };
 };
 
 /** Updates of the state of this host's backend server. */
--- a/src/deployment/ConfigurationMessage.ts
+++ b/src/deployment/ConfigurationMessage.ts
@@ -1,6 +1,7 @@
 import { TokenAnswer } from "../accounts/TokenAnswer";
 import { TokenRequest } from "../accounts/TokenRequest";
 import { ConfigurationDelta } from "../configuration/ConfigurationDelta";
+import { ControlDepartureMessage } from "../departures/ControlDepartureMessage";
 import { RequestStatistics } from "../distribution/RequestStatistics";
 import { ServiceRollout } from "./ServiceRollout";
 
@@ -38,5 +39,6 @@
     | { readonly kind: "renew-lease"; readonly number: number; }
     /** Control to node: the answer to the renewal of that number, with the version that was accepted last. */
     | { readonly kind: "lease"; readonly number: number; readonly version: number; }
+    | ControlDepartureMessage
     | TokenRequest
     | TokenAnswer;
--- a/src/deployment/ConfigurationPublisher.ts
+++ b/src/deployment/ConfigurationPublisher.ts
@@ -5,6 +5,7 @@
 import { digestAccountKeys } from "../configuration/digestAccountKeys";
 import { MeshConfiguration } from "../configuration/MeshConfiguration";
 import { packedDeltas } from "../configuration/packedDeltas";
+import { ControlDepartureMessage } from "../departures/ControlDepartureMessage";
 import { RequestStatistics } from "../distribution/RequestStatistics";
 import { Channel } from "../transport/Channel";
 import { PeerNetwork } from "../transport/PeerNetwork";
@@ -36,11 +37,16 @@
         private readonly onStatistics: (statistics: readonly RequestStatistics[]) => void,
         private readonly leases: LeaseGrantor,
         private readonly onTokenRequest: (request: TokenRequest, reply: (answer: TokenAnswer) => void) => void,
+        private readonly onDeparture: (
+            nodeId: string,
+            message: ControlDepartureMessage,
+            reply: (answer: ControlDepartureMessage) => void,
+        ) => void,
     ) {
         network.handle(Channel.Configuration, {
             onMessage: (remote, body) => {
                 const send = (message: ConfigurationMessage): void => void remote.send(message);
-                this.handleMessage(remote, send, body as ConfigurationMessage);
+                this.handleMessage(remote, remote.identity, send, body as ConfigurationMessage);
             },
             onClose: (remote) => this.subscribers.delete(remote),
         });
@@ -91,6 +97,7 @@
 
     private handleMessage(
         key: object,
+        nodeId: string,
         send: (message: ConfigurationMessage) => void,
         message: ConfigurationMessage,
     ): void {
@@ -114,6 +121,10 @@
             case "request-tokens":
                 this.onTokenRequest(message, send);
                 return;
+            case "record-departure":
+            case "recall-departures":
+                this.onDeparture(nodeId, message, send);
+                return;
         }
     }
 
--- a/src/deployment/ConfigurationSubscriber.ts
+++ b/src/deployment/ConfigurationSubscriber.ts
@@ -5,6 +5,7 @@
 import { Disposable } from "../core/Disposable";
 import { DisposableStore } from "../core/DisposableStore";
 import { EventLog } from "../core/EventLog";
+import { ControlDepartureMessage } from "../departures/ControlDepartureMessage";
 import { RequestStatistics } from "../distribution/RequestStatistics";
 import { Channel } from "../transport/Channel";
 import { parseAddress } from "../transport/parseAddress";
@@ -26,6 +27,9 @@
     readonly onLease: (address: string, lease: ConfigurationMessage & { readonly kind: "lease"; }) => void;
     /** Called with an answer of the control replica at this address. */
     readonly onTokens: (answer: TokenAnswer, address: string) => void;
+    /** Called when the link to a control replica opens, and when the replica says that it leads. */
+    readonly onControl?: (address: string) => void;
+    readonly onDepartures?: (message: ControlDepartureMessage) => void;
 };
 
 /** The connection to one control replica. */
@@ -83,6 +87,11 @@
         return this.heldConfiguration;
     }
 
+    /** True if the link to any control replica is open. */
+    public get isConnected(): boolean {
+        return [...this.controls.values()].some(({ link }) => link.isOpen());
+    }
+
     /**
      * Connects to the control replicas at these peer addresses and closes the connections to all others.
      * @param zoneAddresses those that are known to be in this node's zone
@@ -138,6 +147,7 @@
             onOpen: () => {
                 this.options.log.info("control-connected", { control: addressText });
                 link.send({ kind: "subscribe" } satisfies ConfigurationMessage);
+                this.options.onControl?.(addressText);
             },
             onMessage: (body) => this.handleMessage(addressText, body as ConfigurationMessage),
             onClose: () => this.onClosed(addressText),
@@ -173,6 +183,7 @@
                 if (control) {
                     control.leaderTerm = message.term;
                 }
+                this.options.onControl?.(address);
                 return;
             case "lease":
                 this.options.onLease(address, message);
@@ -180,6 +191,10 @@
             case "tokens":
                 this.options.onTokens(message, address);
                 return;
+            case "departure-recorded":
+            case "departures":
+                this.options.onDepartures?.(message);
+                return;
         }
     }
 
--- a/src/deployment/DeploymentCommand.ts
+++ b/src/deployment/DeploymentCommand.ts
@@ -1,5 +1,6 @@
 import { ConfigurationDelta } from "../configuration/ConfigurationDelta";
 import { StoredCrashes } from "../crashes/StoredCrashes";
+import { StoredDeparture } from "../departures/StoredDeparture";
 import { ServiceRolloutState } from "./ServiceRolloutState";
 
 /**
@@ -48,4 +49,12 @@
         readonly stored: readonly StoredCrashes[];
         /** Fingerprints. */
         readonly removed: readonly string[];
+    }
+    | {
+        /** Stores a departure from the host of a node. A resent one has no further effect. */
+        readonly kind: "record-departure";
+        readonly nodeId: string;
+        readonly departure: StoredDeparture;
+        /** Unix time in ms at which the leader received it. */
+        readonly atMs: number;
     };
--- a/src/deployment/DeploymentState.ts
+++ b/src/deployment/DeploymentState.ts
@@ -1,5 +1,6 @@
 import { MeshConfiguration } from "../configuration/MeshConfiguration";
 import { StoredCrashes } from "../crashes/StoredCrashes";
+import { StoredDeparture } from "../departures/StoredDeparture";
 import { ServiceRollout } from "./ServiceRollout";
 
 /** The replicated state of a deployment: its configuration, the rollouts of its services and the evacuated zones. */
@@ -15,6 +16,8 @@
     readonly evacuatedZones: ReadonlySet<string>;
     /** The requests that are refused since backend servers crashed under them, by fingerprint. */
     readonly crashRecords: ReadonlyMap<string, StoredCrashes>;
+    /** The starts of backend servers that lately left, by the id of the node on their host. */
+    readonly departures: ReadonlyMap<string, readonly StoredDeparture[]>;
 };
 
 type RolloutRecord = ServiceRollout & {
--- a/src/deployment/DeploymentStateMachine.ts
+++ b/src/deployment/DeploymentStateMachine.ts
@@ -1,5 +1,6 @@
 import { StateMachine } from "../consensus/StateMachine";
 import { StoredCrashes } from "../crashes/StoredCrashes";
+import { StoredDeparture } from "../departures/StoredDeparture";
 import { applyDeploymentCommand } from "./applyDeploymentCommand";
 import { DeploymentAnswer } from "./DeploymentAnswer";
 import { DeploymentCommand } from "./DeploymentCommand";
@@ -16,6 +17,8 @@
     readonly evacuatedZones?: readonly string[];
     /** Undefined in snapshots of releases that refuse no requests for crashes. */
     readonly crashRecords?: readonly StoredCrashes[];
+    /** Undefined in snapshots of releases that store no departures. */
+    readonly departures?: readonly (readonly [string, readonly StoredDeparture[]])[];
 };
 
 /** The state machine that applies the replicated log to the state of a deployment. */
@@ -42,7 +45,8 @@
     }
 
     public override takeSnapshot(): unknown {
-        const { acceptedDigests, configuration, crashRecords, evacuatedZones, moves, revision } = this.current;
+        const { acceptedDigests, configuration, crashRecords, departures, evacuatedZones, moves, revision } =
+            this.current;
         const snapshot: Snapshot = {
             revision,
             configuration,
@@ -50,6 +54,7 @@
             moves: [...moves.values()],
             evacuatedZones: [...evacuatedZones],
             crashRecords: [...crashRecords.values()],
+            departures: [...departures],
         };
         return snapshot;
     }
@@ -59,8 +64,15 @@
             this.current = emptyDeployment;
             return;
         }
-        const { acceptedDigests, configuration, crashRecords = [], evacuatedZones = [], moves, revision } =
-            data as Snapshot;
+        const {
+            acceptedDigests,
+            configuration,
+            crashRecords = [],
+            departures = [],
+            evacuatedZones = [],
+            moves,
+            revision,
+        } = data as Snapshot;
         const rolloutEntries = moves.flatMap((rollout) => (rollout ? [[rollout.service, rollout] as const] : []));
         this.current = {
             revision,
@@ -69,6 +81,7 @@
             moves: new Map(rolloutEntries),
             evacuatedZones: new Set(evacuatedZones),
             crashRecords: new Map(crashRecords.map((record) => [record.fingerprint, record])),
+            departures: new Map(departures),
         };
         this.onChange(this.current);
     }
--- a/src/deployment/LocalBackendTask.ts
+++ b/src/deployment/LocalBackendTask.ts
@@ -1,9 +1,9 @@
 import { CallReceiver } from "../calls/CallReceiver";
-import { DeregistrationNotice } from "../calls/DeregistrationNotice";
 import { LocalInstance } from "../calls/LocalInstance";
 import { localInstances } from "../calls/localInstances";
 import { Clock } from "../core/Clock";
 import { EventLog } from "../core/EventLog";
+import { DepartureTask } from "../departures/DepartureTask";
 import { BackendEndpoint } from "../membership/BackendEndpoint";
 import { EndpointState } from "../membership/EndpointState";
 import { membershipOperations } from "../membership/membershipOperations";
@@ -15,10 +15,13 @@
     readonly log: EventLog;
     readonly receiver: CallReceiver;
     readonly membership: MembershipTask;
+    readonly departures: Pick<DepartureTask, "areKnown" | "find" | "record">;
 };
 
-/** Instances follow one another on a host, so older ones are gone. */
-const MAXIMUM_PENDING_DEREGISTRATIONS = 100;
+type Announcement = Parameters<typeof localInstances.announce>[1];
+
+/** Instances follow one another on a host, and the newest one counts. */
+const MAXIMUM_HELD_ANNOUNCEMENTS = 8;
 
 /** Endpoints are published when their key changes. It omits the slow start, since each announcement changes that. */
 const endpointsKey = (endpoints: readonly BackendEndpoint[]): string =>
@@ -26,45 +29,62 @@
 
 /** Handles the announcements of the backend server of this host and publishes its state to the other nodes. */
 export class LocalBackendTask {
-    /** Deregistrations of a start of an instance that was not known when they arrived, by instance id. */
-    private readonly pendingDeregistrations = new Map<string, DeregistrationNotice>();
+    /** Announcements of starts that may have left before this process started. */
+    private held: readonly Announcement[] = [];
     private stopping = false;
 
     public constructor(private readonly options: LocalBackendOptions) {}
 
-    public announce(announcement: Parameters<typeof localInstances.announce>[1]): void {
-        const { clock, receiver } = this.options;
-        const deregistration = this.pendingDeregistrations.get(announcement.id);
-        this.updateInstance(
-            localInstances.announce(receiver.localInstance, announcement, clock.monotonicMs(), deregistration),
-            "instance-announced",
-        );
-        // The start that was deregistered is known now, or over.
-        if (deregistration && announcement.bornMs >= deregistration.bornMs) {
-            this.pendingDeregistrations.delete(announcement.id);
+    /** Handles an announcement. Resolves to whether it may be acknowledged: leaving binds also later processes. */
+    public announce(announcement: Announcement): Promise<boolean> {
+        const { departures, receiver } = this.options;
+        const { bornMs, id, leaving } = announcement;
+        if (leaving) {
+            this.apply(announcement);
+            return departures.record({ instanceId: id, bornMs });
         }
+        if (departures.areKnown || localInstances.isKnown(receiver.localInstance, id, bornMs)) {
+            this.apply(announcement);
+        }
+        else {
+            this.held = [...this.held, announcement].slice(-MAXIMUM_HELD_ANNOUNCEMENTS);
+        }
+        return Promise.resolve(true);
     }
 
     /**
-     * Deregisters an instance.
+     * Deregisters an instance. Resolves to whether that may be acknowledged.
      * @param bornMs Unix time in ms at which the deregistered process started; 0 if the message does not state it
      */
-    public deregister(id: string, bornMs: number): void {
-        const { clock, log, receiver } = this.options;
+    public deregister(id: string, bornMs: number): Promise<boolean> {
+        const { clock, departures, receiver } = this.options;
         const { localInstance } = receiver;
         if (!localInstances.isKnown(localInstance, id, bornMs)) {
-            // A node that just started knows no instance yet, but must honor a deregistration that it acknowledges.
-            this.pendingDeregistrations.set(id, { id, bornMs, sinceMs: clock.monotonicMs() });
-            if (this.pendingDeregistrations.size > MAXIMUM_PENDING_DEREGISTRATIONS) {
-                this.pendingDeregistrations.delete([...this.pendingDeregistrations.keys()][0]);
-            }
-            log.info("departure-noted", { instance: id, bornMs });
-            return;
+            return departures.record({ instanceId: id, bornMs });
         }
         this.updateInstance(
             localInstances.deregister(localInstance, id, bornMs, clock.monotonicMs()),
             "instance-leaving",
         );
+        return departures.record({ instanceId: id, bornMs: localInstance.bornMs });
+    }
+
+    /** Applies what was learned about departures. */
+    public onDepartures(): void {
+        const { departures, receiver } = this.options;
+        if (departures.areKnown) {
+            const held = this.held;
+            this.held = [];
+            held.forEach((announcement) => this.apply(announcement));
+        }
+        const { localInstance } = receiver;
+        const departure = localInstance
+            && departures.find({ instanceId: localInstance.id, bornMs: localInstance.bornMs });
+        if (departure && localInstance.drainingSinceMs === undefined) {
+            const { bornMs, id } = localInstance;
+            const next = localInstances.deregister(localInstance, id, bornMs, departure.leftAtMs);
+            this.updateInstance(next, "instance-leaving");
+        }
     }
 
     /** Publishes the backend server as draining because this node stops: other nodes send it no more requests. */
@@ -78,6 +98,16 @@
         this.publishEndpoints();
     }
 
+    private apply(announcement: Announcement): void {
+        const { clock, departures, receiver } = this.options;
+        const departure = departures.find({ instanceId: announcement.id, bornMs: announcement.bornMs });
+        const nowMs = clock.monotonicMs();
+        this.updateInstance(
+            localInstances.announce(receiver.localInstance, announcement, nowMs, departure?.leftAtMs),
+            "instance-announced",
+        );
+    }
+
     private updateInstance(next: LocalInstance | undefined, event: string): void {
         const { log, receiver } = this.options;
         const previous = receiver.localInstance;
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -47,6 +47,7 @@
     private readonly invalidResponses: Counter;
     private readonly quotaDecisions: Counter;
     private readonly zoneChoices: Counter;
+    private readonly departures: Counter;
 
     public constructor(readings: NodeReadings) {
         super();
@@ -105,6 +106,13 @@
             labelNames: ["service", "zone", "reason"],
             registers,
         });
+        this.departures = new Counter({
+            name: "filbertdeal_departures_total",
+            help:
+                "Departures of backend servers from this host, by whether they were stored elsewhere and acknowledged",
+            labelNames: ["outcome"],
+            registers,
+        });
         this.gauge("configuration_version", "Version of the configuration in force", readings.configurationVersion);
         this.gauge("known_backends", "Backend servers that requests may be sent to", readings.knownBackends);
         this.gauge("active_requests", "Requests of callers in progress", readings.activeRequests);
@@ -184,6 +192,10 @@
         this.healthChecks.inc({ outcome });
     }
 
+    public countDeparture(outcome: string): void {
+        this.departures.inc({ outcome });
+    }
+
     private toSeconds(remainingMs: number | undefined): number {
         return remainingMs === undefined ? -1 : remainingMs / 1_000;
     }
--- a/src/deployment/__tests__/ConfigurationSubscriber.test.ts
+++ b/src/deployment/__tests__/ConfigurationSubscriber.test.ts
@@ -160,6 +160,7 @@
             () => undefined,
             {} as LeaseGrantor,
             () => undefined,
+            () => undefined,
         );
         const received: ConfigurationMessage[] = [];
         const remote = {
--- a/src/deployment/__tests__/evacuationDistribution.test.ts
+++ b/src/deployment/__tests__/evacuationDistribution.test.ts
@@ -30,6 +30,7 @@
             () => undefined,
             {} as LeaseGrantor,
             () => undefined,
+            () => undefined,
         );
     });
     const network = {
--- a/src/deployment/applyDeploymentCommand.ts
+++ b/src/deployment/applyDeploymentCommand.ts
@@ -1,6 +1,7 @@
 import { configurationDeltas } from "../configuration/configurationDeltas";
 import { findConfigurationFault } from "../configuration/findConfigurationFault";
 import { crashRecords } from "../crashes/crashRecords";
+import { departureRecords } from "../departures/departureRecords";
 import { DeploymentAnswer } from "./DeploymentAnswer";
 import { DeploymentCommand } from "./DeploymentCommand";
 import { DeploymentState } from "./DeploymentState";
@@ -125,6 +126,14 @@
         case "record-crashes":
             // Members learn of it from one another: the revision, of which nodes are notified, stays.
             return accepted({ ...state, crashRecords: crashRecords.apply(state.crashRecords, command) });
+        case "record-departure": {
+            const { atMs, departure, nodeId } = command;
+            // Only the node on that host needs it, and asks for it.
+            return accepted({
+                ...state,
+                departures: departureRecords.apply(state.departures, nodeId, departure, atMs),
+            });
+        }
         default:
             return changeRollout(state, command);
     }
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -9,6 +9,7 @@
 import { Disposable } from "../core/Disposable";
 import { EventLog } from "../core/EventLog";
 import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
+import { DepartureStore } from "../departures/DepartureStore";
 import { MemberRecord } from "../membership/MemberRecord";
 import { membershipOperations } from "../membership/membershipOperations";
 import { MembershipTask } from "../membership/MembershipTask";
@@ -22,6 +23,7 @@
 import { ControlMetrics } from "./ControlMetrics";
 import { ControlReadings } from "./ControlReadings";
 import { CrashRecordTask } from "./CrashRecordTask";
+import { DepartureRecordTask } from "./DepartureRecordTask";
 import { DeploymentAdministration } from "./DeploymentAdministration";
 import { DeploymentCommand } from "./DeploymentCommand";
 import { DeploymentControlSettings } from "./DeploymentControlSettings";
@@ -99,6 +101,7 @@
         (statistics) => rolloutTask.addStatistics(statistics),
         leases,
         (request, reply) => quotaTask.receive(request, reply),
+        (nodeId, message, reply) => void departureRecordTask.receive(nodeId, message, reply),
     );
     // A state that no leader has confirmed since the start may be older than one that nodes had before.
     const publishIfConfirmed = (): void => {
@@ -107,7 +110,7 @@
         }
     };
     const stateMachine = new DeploymentStateMachine((state, command) => {
-        if (command?.kind === "record-crashes") {
+        if (command?.kind === "record-crashes" || command?.kind === "record-departure") {
             return;
         }
         publishIfConfirmed();
@@ -161,6 +164,14 @@
     // The membership task starts after the consensus task, which may elect this replica at once.
     let presentMembers: () => readonly MemberRecord[] = () => [];
     const propose = (command: DeploymentCommand) => consensus.propose(command);
+    const departureRecordTask = new DepartureRecordTask({
+        clock,
+        log,
+        state: () => stateMachine.state,
+        isLeading: () => consensus.status().role === Role.Leader,
+        confirmation,
+        propose,
+    });
     const rolloutTask: ServiceRolloutTask = resources.add(
         new ServiceRolloutTask({
             clock,
@@ -224,6 +235,7 @@
             },
             onRememberedRevision: () => undefined,
             gossiped: crashEvidence,
+            exchange: new DepartureStore(clock),
         }),
     );
     resources.add(
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -27,6 +27,7 @@
 import { EventLog } from "../core/EventLog";
 import { openLogOutput } from "../core/openLogOutput";
 import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
+import { DepartureTask } from "../departures/DepartureTask";
 import { membershipOperations } from "../membership/membershipOperations";
 import { MembershipState } from "../membership/MembershipState";
 import { MembershipTask } from "../membership/MembershipTask";
@@ -203,6 +204,17 @@
             },
         }),
     );
+    const departures: DepartureTask = resources.add(
+        new DepartureTask({
+            clock,
+            log,
+            sendToNeighbours: (message) => membership.sendToNeighbours(message),
+            sendToControl: (message, address) => configuration.send(message, address),
+            isControlConnected: () => configuration.isConnected,
+            onChange: () => localBackend.onDepartures(),
+            onDecided: (outcome) => metrics.countDeparture(outcome),
+        }),
+    );
     const quotaTask: QuotaTask = resources.add(
         new QuotaTask({
             clock,
@@ -257,6 +269,8 @@
             onEvacuations: (zones, revision) => evacuations.apply(zones, revision),
             onLease: (control, grant) => lease?.onGrant(control, grant),
             onTokens: (answer, address) => quotaTask.receive(answer, address),
+            onControl: (address) => departures.onControl(address),
+            onDepartures: (message) => departures.receiveFromControl(message),
             onRollouts: (next) => {
                 directory.updateRollouts(next);
                 for (const { reason, service, share, state, targetVersion } of next.values()) {
@@ -391,11 +405,12 @@
             onChange: updateMembers,
             onRememberedRevision: () => undefined,
             gossiped: crashEvidence,
+            exchange: departures,
         }),
     );
     updateMembers(membership.current);
 
-    const localBackend: LocalBackendTask = new LocalBackendTask({ clock, log, receiver, membership });
+    const localBackend: LocalBackendTask = new LocalBackendTask({ clock, log, receiver, membership, departures });
     const backend: LocalBackendAdministration = {
         announce: (announcement) => localBackend.announce(announcement),
         deregister: (id, bornMs) => localBackend.deregister(id, bornMs),
--- a/src/deployment/emptyDeployment.ts
+++ b/src/deployment/emptyDeployment.ts
@@ -8,4 +8,5 @@
     moves: new Map(),
     evacuatedZones: new Set(),
     crashRecords: new Map(),
+    departures: new Map(),
 };
--- a/src/membership/MembershipMessage.ts
+++ b/src/membership/MembershipMessage.ts
@@ -39,6 +39,11 @@
         /** A change of the gossiped state, or all of it when a link opens. See `GossipedState`. */
         readonly kind: "gossip";
         readonly body: unknown;
+    }
+    | {
+        /** What two neighbours tell each other. See `NeighbourExchange`. */
+        readonly kind: "exchange";
+        readonly body: unknown;
     };
 
 type MemberVersion = {
--- a/src/membership/MembershipTask.ts
+++ b/src/membership/MembershipTask.ts
@@ -15,6 +15,7 @@
 import { MembershipState } from "./MembershipState";
 import { membershipTimings } from "./membershipTimings";
 import { MemberStatus } from "./MemberStatus";
+import { NeighbourExchange } from "./NeighbourExchange";
 
 /**
  * Consecutive heartbeats with a different digest after which the records are compared. A single one may only mean that
@@ -41,6 +42,7 @@
      */
     readonly onRememberedRevision: (floor: number) => void;
     readonly gossiped?: GossipedState;
+    readonly exchange?: NeighbourExchange;
 };
 
 /** A member connected by a link that either side opened. */
@@ -129,6 +131,13 @@
         }
     }
 
+    /** Sends a message of the `NeighbourExchange` to all neighbours. Returns their identities. */
+    public sendToNeighbours(body: unknown): ReadonlySet<string> {
+        const neighbours = [...this.neighbours.values()];
+        neighbours.forEach(({ send }) => send({ kind: "exchange", body }));
+        return new Set(neighbours.map(({ id }) => id));
+    }
+
     /** Sends every neighbour a heartbeat with the source revision that this process has reached. */
     public sendHeartbeats(): void {
         const message: MembershipMessage = {
@@ -197,6 +206,9 @@
                 }
                 return;
             }
+            case "exchange":
+                this.options.exchange?.receive(id, message.body, (body) => send({ kind: "exchange", body }));
+                return;
         }
     }
 
@@ -216,6 +228,10 @@
         const alreadyLinked = this.neighbours.has(key);
         this.neighbours.set(key, { id, send, digestMismatches: 0 });
         send({ kind: "floor", floor: this.reachedRevisions.get(id) ?? 0 });
+        const { exchange } = this.options;
+        if (exchange) {
+            send({ kind: "exchange", body: exchange.greet(id) });
+        }
         this.applyChange(membershipOperations.merge(this.state, [record], this.nowMs()));
         if (!alreadyLinked) {
             send(this.hello());
