--- a/src/calls/__tests__/policies.test.ts
+++ b/src/calls/__tests__/policies.test.ts
@@ -479,6 +479,13 @@
         expect(localInstances.announce(leaving, announcement({ bornMs: 2_000 }), 300)?.drainingSinceMs).toBeUndefined();
     });
 
+    // Guards against a sequence of another writer that hides what the backend server says later.
+    test("marks a start as draining although its sequence is below one that was seen, and no other start", () => {
+        const late = announcement({ sequence: 3, leaving: true });
+        expect(localInstances.announce(current, late, 100)?.drainingSinceMs).toBe(100);
+        expect(localInstances.announce(current, { ...late, bornMs: 900 }, 100)?.drainingSinceMs).toBeUndefined();
+    });
+
     test("takes a start that had left before its first announcement as draining since then", () => {
         expect(localInstances.announce(undefined, announcement(), 100, 50)?.drainingSinceMs).toBe(50);
         expect(localInstances.announce(undefined, announcement({ leaving: true }), 100, 50)?.drainingSinceMs).toBe(50);
--- a/src/calls/localInstances.ts
+++ b/src/calls/localInstances.ts
@@ -29,6 +29,25 @@
 const identifies = (reference: Start, start: Start): boolean =>
     reference.id === start.id && (reference.bornMs === 0 || reference.bornMs === start.bornMs);
 
+const isKnown = (current: LocalInstance | undefined, id: string, bornMs: number): current is LocalInstance =>
+    current !== undefined && identifies({ id, bornMs }, current);
+
+/**
+ * Marks the instance as draining for good. A deregistration of another instance or start changes nothing.
+ * @param sinceMs when it left
+ */
+const deregister = (
+    current: LocalInstance | undefined,
+    id: string,
+    bornMs: number,
+    sinceMs: number,
+): LocalInstance | undefined => {
+    if (!isKnown(current, id, bornMs)) {
+        return current;
+    }
+    return { ...current, drainingSinceMs: current.drainingSinceMs ?? sinceMs };
+};
+
 /**
  * Applies an announcement. Draining is final for one start of an instance: a later "ready" of the same start does not
  * revert it. If the first announcement of a start says that it is draining, it told that to an earlier process of this
@@ -42,7 +61,8 @@
     leftAtMs?: number,
 ): LocalInstance | undefined => {
     if (isStale(current, announcement)) {
-        return current;
+        // Draining is final, so it counts in whatever order it arrives.
+        return announcement.leaving ? deregister(current, announcement.id, announcement.bornMs, nowMs) : current;
     }
     const { coldRemainingMs, leaving, ...instance } = announcement;
     const sameStart = current?.id === announcement.id && current.bornMs === announcement.bornMs ? current : undefined;
@@ -52,24 +72,5 @@
     return { ...instance, drainingSinceMs, warmAtMs: nowMs + coldRemainingMs };
 };
 
-const isKnown = (current: LocalInstance | undefined, id: string, bornMs: number): current is LocalInstance =>
-    current !== undefined && identifies({ id, bornMs }, current);
-
-/**
- * Marks the instance as draining for good. A deregistration of another instance or start changes nothing.
- * @param sinceMs when it left
- */
-const deregister = (
-    current: LocalInstance | undefined,
-    id: string,
-    bornMs: number,
-    sinceMs: number,
-): LocalInstance | undefined => {
-    if (!isKnown(current, id, bornMs)) {
-        return current;
-    }
-    return { ...current, drainingSinceMs: current.drainingSinceMs ?? sinceMs };
-};
-
 /** Updates of the state of this host's backend server. */
 export const localInstances = { announce, isKnown, deregister } as const;
