A message that a process can't handle closes its connection and ends nothing else

What operators saw: a message between processes with a field missing or of another type ended the process that read it.

Cause: messages were cast to their types, and errors of asynchronous handlers were dropped.

Change: PeerNetwork closes the connection of a message whose handler throws or rejects, for all channels, and logs it. Member records, which every member stores and passes on, are decoded; an odd one is left out. Timestamps more than an hour ahead don't set the clock of a process. Ports are whole decimal numbers. It works because no error of a handler leaves the network layer, and because nothing that can't be used is stored.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -35,7 +35,7 @@
         options.network.handle(Channel.Calls, {
             onMessage: (remote, body) => {
                 const send = (message: CallMessage): void => void remote.send(message);
-                received.serve(remote, remote.identity, send, body as CallMessage);
+                return received.serve(remote, remote.identity, send, body as CallMessage);
             },
             onClose: (remote) => received.cancelAll(remote),
         });
--- a/src/calls/ReceivedRequests.ts
+++ b/src/calls/ReceivedRequests.ts
@@ -23,7 +23,12 @@
     public constructor(private readonly options: ReceivedRequestsOptions) {}
 
     /** Handles a message of the peer `key`. */
-    public serve(key: object, from: string, send: (message: CallMessage) => void, message: CallMessage): void {
+    public serve(
+        key: object,
+        from: string,
+        send: (message: CallMessage) => void,
+        message: CallMessage,
+    ): void | Promise<void> {
         const running = this.runningByPeer.get(key) ?? new Map<number, RunningRequest>();
         this.runningByPeer.set(key, running);
         if (message.kind === "ping") {
@@ -39,7 +44,7 @@
             return;
         }
         if (message.kind === "order") {
-            void this.runRequest(from, running, send, message);
+            return this.runRequest(from, running, send, message);
         }
     }
 
--- a/src/core/HybridClock.ts
+++ b/src/core/HybridClock.ts
@@ -1,6 +1,9 @@
 import { Clock } from "./Clock";
 import { HybridTimestamp } from "./HybridTimestamp";
 
+/** A received timestamp that is further ahead of the own clock is wrong. It would set all later ones in the system. */
+const MAXIMUM_LEAD_MS = 3_600_000;
+
 /**
  * A hybrid logical clock. A timestamp taken after a message was received is greater than the one that the message
  * carried, so that sorting by timestamp respects causality.
@@ -18,8 +21,11 @@
         return this.last;
     }
 
-    /** Advances the clock to the timestamp of a received message, if that is later. */
+    /** Advances the clock to the timestamp of a received message, if that is later and can be right. */
     public observe(remote: HybridTimestamp): void {
+        if (remote.wallMs > this.clock.wallMs() + MAXIMUM_LEAD_MS) {
+            return;
+        }
         if (remote.wallMs > this.last.wallMs) {
             this.last = remote;
             return;
--- a/src/departures/departures.ts
+++ b/src/departures/departures.ts
@@ -12,6 +12,8 @@
 /** Backend servers follow one another on a host, so older ones are gone. */
 const MAXIMUM_PER_HOST = 16;
 
+const MAXIMUM_ID_LENGTH = 200;
+
 const isKept = ({ leftAtMs }: Departure, nowMs: number): boolean => nowMs - leftAtMs < RETENTION_MS;
 
 const isSame = (one: Start, other: Start): boolean =>
@@ -42,8 +44,15 @@
         .filter((departure) => isKept(departure, nowMs))
         .map(({ bornMs, instanceId, leftAtMs }) => ({ bornMs, instanceId, ageMs: Math.round(nowMs - leftAtMs) }));
 
+const isReport = ({ ageMs, bornMs, instanceId }: DepartureReport): boolean =>
+    typeof instanceId === "string" && instanceId.length <= MAXIMUM_ID_LENGTH && Number.isSafeInteger(bornMs)
+    && ageMs >= 0;
+
+/** Reads the reports of another process, without those that can't be right. */
 const fromReports = (reports: readonly DepartureReport[], nowMs: number): Departures =>
-    reports.map(({ ageMs, bornMs, instanceId }) => ({ bornMs, instanceId, leftAtMs: nowMs - ageMs }));
+    reports
+        .filter(isReport)
+        .map(({ ageMs, bornMs, instanceId }) => ({ bornMs, instanceId, leftAtMs: nowMs - ageMs }));
 
 /** Pure functions on the departures from one host, oldest first. */
 export const departures = { retentionMs: RETENTION_MS, add, find, toReports, fromReports } as const;
--- a/src/deployment/ConfigurationPublisher.ts
+++ b/src/deployment/ConfigurationPublisher.ts
@@ -41,12 +41,12 @@
             nodeId: string,
             message: ControlDepartureMessage,
             reply: (answer: ControlDepartureMessage) => void,
-        ) => void,
+        ) => Promise<void>,
     ) {
         network.handle(Channel.Configuration, {
             onMessage: (remote, body) => {
                 const send = (message: ConfigurationMessage): void => void remote.send(message);
-                this.handleMessage(remote, remote.identity, send, body as ConfigurationMessage);
+                return this.handleMessage(remote, remote.identity, send, body as ConfigurationMessage);
             },
             onClose: (remote) => this.subscribers.delete(remote),
         });
@@ -100,7 +100,7 @@
         nodeId: string,
         send: (message: ConfigurationMessage) => void,
         message: ConfigurationMessage,
-    ): void {
+    ): void | Promise<void> {
         switch (message.kind) {
             case "subscribe":
                 this.subscribers.set(key, { send });
@@ -123,8 +123,7 @@
                 return;
             case "record-departure":
             case "recall-departures":
-                this.onDeparture(nodeId, message, send);
-                return;
+                return this.onDeparture(nodeId, message, send);
         }
     }
 
--- a/src/deployment/GroupMembershipTask.ts
+++ b/src/deployment/GroupMembershipTask.ts
@@ -51,7 +51,7 @@
 
     public constructor(private readonly options: GroupTaskOptions) {
         options.network.handle(Channel.Group, {
-            onMessage: (_remote, body) => void this.handleJoin(body as JoinMessage),
+            onMessage: (_remote, body) => this.handleJoin(body as JoinMessage),
             onClose: () => undefined,
         });
         this.resources.every(CHECK_INTERVAL_MS, () => this.check());
--- a/src/deployment/__tests__/ConfigurationSubscriber.test.ts
+++ b/src/deployment/__tests__/ConfigurationSubscriber.test.ts
@@ -45,7 +45,8 @@
         onTokens: () => undefined,
     });
     subscriber.setControlAddresses(new Set(addresses), new Set(zoneAddresses));
-    const receive = (address: string, message: ConfigurationMessage): void => handlers.get(address)?.onMessage(message);
+    const receive = (address: string, message: ConfigurationMessage): void =>
+        void handlers.get(address)?.onMessage(message);
     const announce = (address: string, configurationVersion: number): void =>
         receive(address, {
             kind: "state",
@@ -160,7 +161,7 @@
             () => undefined,
             {} as LeaseGrantor,
             () => undefined,
-            () => undefined,
+            () => Promise.resolve(),
         );
         const received: ConfigurationMessage[] = [];
         const remote = {
--- a/src/deployment/__tests__/evacuationDistribution.test.ts
+++ b/src/deployment/__tests__/evacuationDistribution.test.ts
@@ -30,7 +30,7 @@
             () => undefined,
             {} as LeaseGrantor,
             () => undefined,
-            () => undefined,
+            () => Promise.resolve(),
         );
     });
     const network = {
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -101,7 +101,7 @@
         (statistics) => rolloutTask.addStatistics(statistics),
         leases,
         (request, reply) => quotaTask.receive(request, reply),
-        (nodeId, message, reply) => void departureRecordTask.receive(nodeId, message, reply),
+        (nodeId, message, reply) => departureRecordTask.receive(nodeId, message, reply),
     );
     // A state that no leader has confirmed since the start may be older than one that nodes had before.
     const publishIfConfirmed = (): void => {
--- a/src/membership/MembershipTask.ts
+++ b/src/membership/MembershipTask.ts
@@ -8,6 +8,7 @@
 import { SocketAddress } from "../transport/SocketAddress";
 import { chooseNeighbours } from "./chooseNeighbours";
 import { compareVersions } from "./compareVersions";
+import { decodeMemberRecords } from "./decodeMemberRecords";
 import { GossipedState } from "./GossipedState";
 import { MemberRecord } from "./MemberRecord";
 import { MembershipMessage } from "./MembershipMessage";
@@ -194,7 +195,7 @@
                 this.options.onRememberedRevision(message.floor);
                 return;
             case "records":
-                this.applyChange(membershipOperations.merge(this.state, message.records, this.nowMs()), key);
+                this.mergeRecords(id, message.records, key);
                 return;
             case "versions":
                 this.onVersions(send, message);
@@ -212,6 +213,15 @@
         }
     }
 
+    /** Stores what a neighbour sent of members, and passes on what is new. */
+    private mergeRecords(neighbour: string, raw: unknown, source?: object): void {
+        const { records, refused } = decodeMemberRecords(raw, this.options.clock.wallMs());
+        if (refused > 0) {
+            this.options.log.infoRateLimited("member-records-refused", { neighbour, refused });
+        }
+        this.applyChange(membershipOperations.merge(this.state, records, this.nowMs()), source);
+    }
+
     private sendSnapshot(send: (message: MembershipMessage) => void): void {
         const body = this.options.gossiped?.snapshot();
         if (body !== undefined) {
@@ -232,7 +242,7 @@
         if (exchange) {
             send({ kind: "exchange", body: exchange.greet(id) });
         }
-        this.applyChange(membershipOperations.merge(this.state, [record], this.nowMs()));
+        this.mergeRecords(id, record);
         if (!alreadyLinked) {
             send(this.hello());
             this.sendSnapshot(send);
--- a/src/process/createProcessContext.ts
+++ b/src/process/createProcessContext.ts
@@ -32,6 +32,10 @@
     const log = new EventLog(name, hybridClock, output);
     const random = new RandomSource(seed);
     const localHost = parseAddressOrDefault(peerAddress).host;
-    const network = resources.add(new PeerNetwork({ identity, secret, localHost, hybridClock, random }));
+    const onUnhandled = (peer: string, channel: string, error: Error): void =>
+        log.infoRateLimited("message-unhandled", { peer, channel, reason: error.message });
+    const network = resources.add(
+        new PeerNetwork({ identity, secret, localHost, hybridClock, random, onUnhandled }),
+    );
     return { resources, clock, log, random, localHost, network } as const;
 };
--- a/src/transport/FramedConnection.ts
+++ b/src/transport/FramedConnection.ts
@@ -60,7 +60,12 @@
         this.events = events;
         const undelivered = this.undelivered;
         this.undelivered = [];
-        undelivered.forEach(events.onMessage);
+        try {
+            undelivered.forEach(events.onMessage);
+        }
+        catch {
+            this.close();
+        }
         if (this.closed) {
             events.onClose();
         }
--- a/src/transport/PeerLink.ts
+++ b/src/transport/PeerLink.ts
@@ -64,6 +64,11 @@
         });
     }
 
+    /** Closes the connection, which is then opened again. */
+    public closeConnection(): void {
+        this.connection?.close();
+    }
+
     /** Closes the connection and reconnects after the given delay, as requested by an overloaded peer. */
     public reconnectAfter(delayMs: number): void {
         this.schedule(delayMs);
--- a/src/transport/PeerNetwork.ts
+++ b/src/transport/PeerNetwork.ts
@@ -18,7 +18,11 @@
 
 /** Handles the messages of a channel on connections that peers opened. */
 type ChannelHandler = {
-    readonly onMessage: (remote: RemotePeer, body: unknown) => void;
+    /**
+     * If it throws, or returns a promise that rejects, the message can't be handled: its connection is closed, and the
+     * process goes on.
+     */
+    readonly onMessage: (remote: RemotePeer, body: unknown) => unknown;
     readonly onClose: (remote: RemotePeer) => void;
 };
 
@@ -30,7 +34,8 @@
      */
     readonly heartbeatMs?: number;
     readonly onOpen?: (peerIdentity: string) => void;
-    readonly onMessage: (body: unknown) => void;
+    /** As in `ChannelHandler`. */
+    readonly onMessage: (body: unknown) => unknown;
     readonly onClose?: () => void;
     readonly onFailure?: () => void;
 };
@@ -52,10 +57,15 @@
     readonly localHost: string;
     readonly hybridClock: HybridClock;
     readonly random: RandomSource;
+    /** Called for a message that could not be handled. */
+    readonly onUnhandled?: (peer: string, channel: string, error: Error) => void;
 };
 
-const isEnvelope = (raw: unknown): raw is Envelope =>
-    typeof raw === "object" && raw !== undefined && "channel" in (raw as object) && "at" in (raw as object);
+const isEnvelope = (raw: unknown): raw is Envelope => {
+    const { at, channel } = (raw ?? {}) as Partial<Envelope>;
+    return typeof channel === "string" && typeof at === "object" && Number.isSafeInteger(at?.wallMs)
+        && Number.isSafeInteger(at?.counter);
+};
 
 /** Accepts and opens all connections of a process with its peers, and dispatches messages to tasks by channel. */
 export class PeerNetwork implements Disposable {
@@ -108,7 +118,8 @@
             onMessage: (raw) => {
                 if (isEnvelope(raw)) {
                     hybridClock.observe(raw.at);
-                    handler.onMessage(raw.body);
+                    const close = (): void => link.closeConnection();
+                    this.deliver(link.peerIdentity, channel, close, () => handler.onMessage(raw.body));
                 }
             },
             onBytes: (count) => this.countReceived(count),
@@ -155,13 +166,36 @@
                     return;
                 }
                 this.options.hybridClock.observe(raw.at);
-                this.handlers.get(raw.channel)?.onMessage(remoteFor(raw.channel), raw.body);
+                const { body, channel } = raw;
+                const close = (): void => connection.close();
+                this.deliver(
+                    connection.peerIdentity,
+                    channel,
+                    close,
+                    () => this.handlers.get(channel)?.onMessage(remoteFor(channel), body),
+                );
             },
             onBytes: (count) => this.countReceived(count),
             onClose: () => remotes.forEach((remote, channel) => this.handlers.get(channel)?.onClose(remote)),
         });
     }
 
+    private deliver(peer: string, channel: Channel, close: () => void, handle: () => unknown): void {
+        const fail = (error: unknown): void => {
+            this.options.onUnhandled?.(peer, channel, error as Error);
+            close();
+        };
+        try {
+            const handled = handle();
+            if (handled instanceof Promise) {
+                handled.catch(fail);
+            }
+        }
+        catch (error) {
+            fail(error);
+        }
+    }
+
     private wrap(channel: Channel, body: unknown): Envelope {
         return { channel, at: this.options.hybridClock.tick(), body };
     }
--- a/src/transport/__tests__/transport.test.ts
+++ b/src/transport/__tests__/transport.test.ts
@@ -8,13 +8,21 @@
 import { createSessionCodec } from "../createSessionCodec";
 import { encodeFrame } from "../encodeFrame";
 import { FrameDecoder } from "../FrameDecoder";
+import { parseAddress } from "../parseAddress";
 import { PeerNetwork } from "../PeerNetwork";
 import { TransportLimits } from "../TransportLimits";
 
 const MAXIMUM_BYTES = 1_000_000;
 
-const createNetwork = (identity: string, secret: string): PeerNetwork =>
+type NetworkOptions = ConstructorParameters<typeof PeerNetwork>[0];
+
+const createNetwork = (
+    identity: string,
+    secret: string,
+    onUnhandled?: NetworkOptions["onUnhandled"],
+): PeerNetwork =>
     new PeerNetwork({
+        onUnhandled,
         identity,
         secret,
         localHost: "127.0.0.1",
@@ -44,6 +52,14 @@
         );
     });
 
+    // Guards against a message nested so deeply that reading it exhausts the stack.
+    test("rejects a deeply nested message with an error that closes the connection", () => {
+        const body = Buffer.alloc(MAXIMUM_BYTES, 0x81);
+        const length = Buffer.alloc(4);
+        length.writeUInt32BE(body.length);
+        expect(() => new FrameDecoder(MAXIMUM_BYTES).push(Buffer.concat([length, body]))).toThrow();
+    });
+
     test("rejects a frame that exceeds the limit as soon as its length is read", () => {
         const decoder = new FrameDecoder(10);
         expect(() => decoder.push(Buffer.from([0, 0, 0, 11]))).toThrow(/exceeds the limit/);
@@ -93,6 +109,38 @@
         await server.dispose();
     });
 
+    // Guards against a message that ends the process, also if it fails later.
+    test.each([
+        ["at once", () => {
+            throw new Error("odd");
+        }],
+        ["later", () => Promise.reject(new Error("odd"))],
+    ])("closes the connection of a message whose handler fails %s, and accepts others", async (_when, handle) => {
+        const failures: string[] = [];
+        const server = createNetwork("server", "the-right-secret-1", (peer, channel, error) => {
+            failures.push(`${peer} ${channel} ${error.message}`);
+        });
+        const client = createNetwork("client", "the-right-secret-1");
+        const isOdd = (body: unknown): boolean => body === "odd";
+        server.handle(Channel.Membership, {
+            onMessage: (remote, body) => (isOdd(body) ? handle() : remote.send(body)),
+            onClose: () => undefined,
+        });
+        const address = await server.listen({ host: "127.0.0.1", port: 0 });
+        let isClosed = false;
+        const answer = await new Promise((resolve) => {
+            const link = client.open(Channel.Membership, address, {
+                onOpen: () => void link.send(isClosed ? "sound" : "odd"),
+                onMessage: resolve,
+                onClose: () => (isClosed = true),
+            });
+        });
+        expect(answer).toBe("sound");
+        expect(failures).toEqual(["client membership odd"]);
+        await client.dispose();
+        await server.dispose();
+    });
+
     test("limits the heartbeat interval that the opener requests", () => {
         expect(clampHeartbeatInterval(20_000)).toBe(20_000);
         expect(clampHeartbeatInterval(3_600_000)).toBe(TransportLimits.MaximumHeartbeatIntervalMs);
@@ -113,3 +161,36 @@
         await server.dispose();
     });
 });
+
+describe("an address", () => {
+    test.each([
+        "127.0.0.1:65536",
+        "127.0.0.1:-1",
+        "127.0.0.1:",
+        "127.0.0.1:1e3",
+        "127.0.0.1:0x50",
+        "127.0.0.1: 80",
+        "x:80",
+    ])(
+        "is not read from %j",
+        (text) => {
+            expect(parseAddress(text)).toBeUndefined();
+        },
+    );
+
+    test("ends at port 65535", () => {
+        expect(parseAddress("127.0.0.1:65535")).toEqual({ host: "127.0.0.1", port: 65_535 });
+    });
+});
+
+describe("the clock of a process", () => {
+    test("is not set by a timestamp that is too far ahead, and is by a later one within reason", () => {
+        const clock = new SystemClock();
+        const hybridClock = new HybridClock(clock);
+        hybridClock.observe({ wallMs: 8_640_000_000_000_001, counter: 0 });
+        expect(hybridClock.tick().wallMs).toBeLessThan(clock.wallMs() + 1_000);
+        const ahead = { wallMs: Math.round(clock.wallMs()) + 5_000, counter: 3 };
+        hybridClock.observe(ahead);
+        expect(hybridClock.tick()).toEqual({ ...ahead, counter: 4 });
+    });
+});
--- a/src/transport/parseAddress.ts
+++ b/src/transport/parseAddress.ts
@@ -5,7 +5,8 @@
 export const parseAddress = (text: string): SocketAddress | undefined => {
     const separator = text.lastIndexOf(":");
     const host = text.slice(0, separator);
-    const port = Number(text.slice(separator + 1));
-    const valid = separator > 0 && isIP(host) !== 0 && Number.isInteger(port) && port >= 0 && port < 65536;
+    const portText = text.slice(separator + 1);
+    const port = Number(portText);
+    const valid = separator > 0 && isIP(host) !== 0 && /^\d{1,5}$/.test(portText) && port < 65536;
     return valid ? { host, port } : undefined;
 };
