--- a/src/proxy/__tests__/callPath.test.ts
+++ b/src/proxy/__tests__/callPath.test.ts
@@ -429,6 +429,20 @@
         expect((await send(await startCaller(inbounds), {})).status).toBe(502);
     });
 
+    // Guards against a response without a length that is reset on the way and counts as complete.
+    test.each(["", "Connection: close\r\n", "Connection: close\r\nTransfer-Encoding: chunked\r\n"])(
+        "never presents a response as complete whose connection is reset: %j",
+        async (framing) => {
+            const body = framing.includes("chunked") ? "4\r\nhalf\r\n" : "half";
+            const backend = await startRawBackend((socket) => {
+                socket.write(`HTTP/1.1 200 OK\r\n${framing}\r\n${body}`);
+                setTimeout(() => socket.resetAndDestroy(), 30);
+            });
+            const caller = await startCaller([await startInbound(backend)]);
+            expect((await send(caller, { method: "POST", path: "/orders" })).complete).toBe(false);
+        },
+    );
+
     test("serves a response without a length that ends with its connection", async () => {
         const backend = await startRawBackend((socket) => socket.end("HTTP/1.1 200 OK\r\n\r\nwhole"));
         const caller = await startCaller([await startInbound(backend)]);
