A request whose caller left counts if the backend server crashes before its deadline

Cause: when the caller leaves, the node closes the connection, and CrashGuard ended the run as if it had ended well. The backend server may go on with it. Evidence: CrashGuard.test.ts, "reports a request whose caller left…", two forms, fails without the change.

Change: CrashObserver keeps a run that was cancelled until the deadline that the backend server was given, and reports it when another request sees the crash or the backend server accepts no connections. A new start, a completed run of the same content, a drain or a planned end clear it as before. It works because the crash is seen by the next request at the latest. The existing test of ends that count for nothing now tries to connect before the caller leaves: in the other order it is the case above.

--- a/src/calls/CrashGuard.ts
+++ b/src/calls/CrashGuard.ts
@@ -15,6 +15,15 @@
     readonly isPlannedEnd: (instance: LocalInstance) => boolean;
 };
 
+/** The end of a run that saw no crash. The backend server may go on with a request after its caller has left. */
+const endOf = (result: CallResult, deadlineMs: number): Parameters<ReturnType<CrashObserver["begin"]>>[0] => {
+    if (result.kind === "unknown" && result.reason === "cancelled") {
+        return { kind: "abandoned", untilMs: deadlineMs };
+    }
+    const isCompleted = result.kind === "answered" && !isServerError(result.answer.status);
+    return { kind: isCompleted ? "completed" : "other" };
+};
+
 /**
  * Refuses requests under which backend servers crashed, runs at most one trial of such a request at a time, and reports
  * the requests that run when the backend server of this host crashes.
@@ -47,23 +56,28 @@
         if (refusal) {
             return refusal;
         }
-        const { crashRank, fingerprint, isTrial, service } = request;
+        const { crashRank, fingerprint, isTrial, remainingMs, service } = request;
+        const deadlineMs = this.options.clock.monotonicMs() + remainingMs;
         const end = this.observer.begin({ crashRank, fingerprint, isTrial });
         const result = await send().catch((error: unknown) => {
             end({ kind: "other" });
             throw error;
         });
+        const { bornMs, id, version } = instance;
+        const backend = { service, backend: { instanceId: id, bornMs }, backendVersion: version };
+        const isPlannedEnd = instance.drainingSinceMs !== undefined || this.options.isPlannedEnd(instance);
         if (result.kind !== "unknown" || result.reason !== "backend-ended") {
-            const isCompleted = result.kind === "answered" && !isServerError(result.answer.status);
-            end({ kind: isCompleted ? "completed" : "other" });
+            end(endOf(result, deadlineMs));
+            const isUnreachable = result.kind === "not-run" && result.reason === "unreachable";
+            if (isUnreachable && !isPlannedEnd) {
+                this.observer.onCrash(backend);
+            }
             return result;
         }
-        if (instance.drainingSinceMs !== undefined || this.options.isPlannedEnd(instance)) {
+        if (isPlannedEnd) {
             end({ kind: "other" });
             return { kind: "unknown", reason: "broken" };
         }
-        const { bornMs, id, version } = instance;
-        const backend = { service, backend: { instanceId: id, bornMs }, backendVersion: version };
         const crashReport = end({ kind: "crashed", backend });
         return { ...result, ...(crashReport && { crashReport }) };
     }
--- a/src/calls/__tests__/CrashGuard.test.ts
+++ b/src/calls/__tests__/CrashGuard.test.ts
@@ -17,6 +17,8 @@
     answer: { status: 200, reason: "OK", headers: [], body: Buffer.alloc(0) },
 };
 const ended: CallResult = { kind: "unknown", reason: "backend-ended" };
+const cancelled: CallResult = { kind: "unknown", reason: "cancelled" };
+const unreachable: CallResult = { kind: "not-run", reason: "unreachable", retryAfterMs: 0 };
 
 const instance: LocalInstance = {
     id: "i-1",
@@ -66,10 +68,39 @@
         await run(ended, {}, { ...instance, drainingSinceMs: 5 });
         await run({ kind: "unknown", reason: "broken" });
         await run({ kind: "unknown", reason: "timed-out" });
-        await run({ kind: "unknown", reason: "cancelled" });
-        await run({ kind: "not-run", reason: "unreachable", retryAfterMs: 0 });
+        await run(unreachable);
+        await run(cancelled);
+        await run(cancelled, {}, { ...instance, drainingSinceMs: 5 });
+        await run(unreachable, {}, { ...instance, drainingSinceMs: 5 });
         isPlannedEnd = true;
         await run(ended);
+        await run(unreachable);
+        expect(evidence.size).toBe(0);
+    });
+
+    // Guards against a request that crashes backend servers and is never refused, since its caller leaves before.
+    test.each([
+        ["another request breaks", ended],
+        ["the backend server accepts no connections", unreachable],
+    ])("reports a request whose caller left, once %s before its deadline", async (_sign, result) => {
+        await run(cancelled, { fingerprint: "left", remainingMs: 60_000 });
+        expect(evidence.size).toBe(0);
+        await run(result, { fingerprint: undefined });
+        expect(evidence.list()).toMatchObject([{ fingerprint: "left", crashes: 1 }]);
+        await run(cancelled, { fingerprint: "left", remainingMs: 60_000 }, { ...instance, bornMs: 2 });
+        await run(result, { fingerprint: undefined }, { ...instance, bornMs: 2 });
+        expect(evidence.list()).toMatchObject([{ fingerprint: "left", crashes: 2 }]);
+    });
+
+    test("reports no request whose caller left that the backend server had completed, had to end, or ran in an earlier start", async () => {
+        await run(answered, { fingerprint: "completed" });
+        await run(cancelled, { fingerprint: "completed", remainingMs: 60_000 });
+        await run(cancelled, { fingerprint: "expired", remainingMs: 0 });
+        await run(ended, { fingerprint: undefined });
+        expect(evidence.size).toBe(0);
+        await run(cancelled, { fingerprint: "earlier", remainingMs: 60_000 });
+        guard.onNewStart();
+        await run(ended, { fingerprint: undefined }, { ...instance, bornMs: 2 });
         expect(evidence.size).toBe(0);
     });
 
--- a/src/crashes/CrashObserver.ts
+++ b/src/crashes/CrashObserver.ts
@@ -16,9 +16,20 @@
 type CrashedBackend = Omit<Parameters<CrashEvidenceTask["recordCrash"]>[0], "fingerprint" | "rank">;
 
 /** How a run ended: completed, or the crash of the backend server, or otherwise. */
-type RunEnd = { readonly kind: "completed" | "other"; } | {
-    readonly kind: "crashed";
-    readonly backend: CrashedBackend;
+type RunEnd =
+    | { readonly kind: "completed" | "other"; }
+    | { readonly kind: "crashed"; readonly backend: CrashedBackend; }
+    | {
+        /** Nobody waits for it any more. The backend server may go on with it until this time. */
+        readonly kind: "abandoned";
+        readonly untilMs: number;
+    };
+
+/** A run whose end nobody sees. */
+type AbandonedRun = {
+    readonly fingerprint: string;
+    readonly rank: number;
+    readonly untilMs: number;
 };
 
 type ObserverOptions = {
@@ -36,17 +47,36 @@
 const COMPLETION_COUNTS_MS = 10_000;
 const MAXIMUM_COMPLETIONS = 1_000;
 
+const MAXIMUM_ABANDONED = 1_000;
+
 /** Decides which requests may run at the backend server of this host, and reports those that run when it crashes. */
 export class CrashObserver {
     private isTrialRunning = false;
     /** When the current start of the backend server last completed a request, by fingerprint, oldest first. */
     private readonly completedAtMs = new Map<string, number>();
+    /** Oldest first. */
+    private abandoned: readonly AbandonedRun[] = [];
 
     public constructor(private readonly options: ObserverOptions) {}
 
-    /** Forgets what the previous start of the backend server has completed. */
+    /** True if the backend server may still run requests that nobody waits for. */
+    public get hasAbandonedRuns(): boolean {
+        return this.abandonedNow().length > 0;
+    }
+
+    /** Forgets what the previous start of the backend server has completed, and what it still ran. */
     public onNewStart(): void {
         this.completedAtMs.clear();
+        this.abandoned = [];
+    }
+
+    /** Reports the abandoned runs: the backend server has crashed and no other request saw that. */
+    public onCrash(backend: CrashedBackend): void {
+        const runs = this.abandonedNow();
+        this.abandoned = [];
+        runs.filter(({ fingerprint }) => !this.hasCompleted(fingerprint)).forEach(({ fingerprint, rank }) =>
+            this.options.evidence.recordCrash({ ...backend, fingerprint, rank })
+        );
     }
 
     /** Returns after which time to come back if the request must not run here now, else undefined. */
@@ -74,17 +104,38 @@
             if (isTrial) {
                 this.isTrialRunning = false;
             }
-            return fingerprint === undefined ? undefined : this.observe(fingerprint, rank, end);
+            if (fingerprint !== undefined) {
+                return this.observe(fingerprint, rank, end);
+            }
+            if (end.kind === "crashed") {
+                this.onCrash(end.backend);
+            }
+            return undefined;
         };
     }
 
     private observe(fingerprint: string, rank: number, end: RunEnd): CrashReport | undefined {
-        if (end.kind === "completed") {
-            this.recordCompletion(fingerprint);
+        switch (end.kind) {
+            case "completed":
+                this.recordCompletion(fingerprint);
+                return undefined;
+            case "abandoned":
+                this.abandoned = [...this.abandonedNow(), { fingerprint, rank, untilMs: end.untilMs }]
+                    .slice(-MAXIMUM_ABANDONED);
+                return undefined;
+            case "crashed":
+                this.onCrash(end.backend);
+                return this.hasCompleted(fingerprint)
+                    ? undefined
+                    : this.options.evidence.recordCrash({ ...end.backend, fingerprint, rank });
+            case "other":
+                return undefined;
         }
-        return end.kind === "crashed" && !this.hasCompleted(fingerprint)
-            ? this.options.evidence.recordCrash({ ...end.backend, fingerprint, rank })
-            : undefined;
+    }
+
+    private abandonedNow(): readonly AbandonedRun[] {
+        const nowMs = this.options.clock.monotonicMs();
+        return this.abandoned.filter(({ untilMs }) => untilMs > nowMs);
     }
 
     private recordCompletion(fingerprint: string): void {
--- a/src/proxy/InboundCrashes.ts
+++ b/src/proxy/InboundCrashes.ts
@@ -8,7 +8,9 @@
 import { LocalBackend } from "./LocalBackend";
 import { localBackends } from "./localBackends";
 import { proxyHeaders } from "./proxyHeaders";
+import { proxyLimits } from "./proxyLimits";
 import { readHeader } from "./readHeader";
+import { readTimeoutMs } from "./readTimeoutMs";
 
 type InboundCrashOptions = {
     readonly nodeId: string;
@@ -27,6 +29,12 @@
     check: Promise<number | undefined> | undefined;
 };
 
+/** The end of a run that saw no crash. The backend server may go on with a request after its caller has left. */
+const endOf = (outcome: AttemptOutcome, deadlineMs: number): Parameters<ReturnType<CrashObserver["begin"]>>[0] =>
+    outcome === AttemptOutcome.Cancelled
+        ? { kind: "abandoned", untilMs: deadlineMs }
+        : { kind: outcome === AttemptOutcome.Answered ? "completed" : "other" };
+
 /** Observes under which requests the backend servers of this host crash. */
 export class InboundCrashes {
     private readonly backends = new Map<string, ObservedBackend>();
@@ -49,18 +57,24 @@
             state.observer.onNewStart();
         }
         const end = state.observer.begin(this.readRequest(headers));
+        const deadlineMs = this.options.clock.monotonicMs() + readTimeoutMs(headers, proxyLimits.defaultTimeoutMs);
         return async (outcome) => {
-            const start = outcome === AttemptOutcome.Broken ? await this.crashedStart(state, backend) : undefined;
+            const isUnreachable = outcome === AttemptOutcome.Unreachable && state.observer.hasAbandonedRuns;
+            const mayHaveCrashed = outcome === AttemptOutcome.Broken || isUnreachable;
+            const start = mayHaveCrashed ? await this.crashedStart(state, backend) : undefined;
             if (start === undefined || backend.drainingSinceMs !== undefined) {
-                end({ kind: outcome === AttemptOutcome.Answered ? "completed" : "other" });
+                end(endOf(outcome, deadlineMs));
                 return undefined;
             }
             const { backendVersion, service } = backend;
             const instanceId = `${this.options.nodeId}/${localBackends.keyOf(backend)}`;
-            return end({
-                kind: "crashed",
-                backend: { service, backendVersion, backend: { instanceId, bornMs: start } },
-            });
+            const crashed = { service, backendVersion, backend: { instanceId, bornMs: start } };
+            if (isUnreachable) {
+                end({ kind: "other" });
+                state.observer.onCrash(crashed);
+                return undefined;
+            }
+            return end({ kind: "crashed", backend: crashed });
         };
     }
 
