A heartbeat that arrives late doesn't lift the limit of a cold backend server

Cause: a heartbeat was taken to be at most 100 ms old. Evidence: coldReceiver.test.ts, "gets no more than its bound in a second if warm heartbeats…": 31 requests with 100 ms, bound 21.65.

Change: a heartbeat may be up to 10 s old. A health check, sent when there are requests that need it, ends a cold phase or a doubt sooner. It works because the response to a health check was certainly made after it was sent. The test of heartbeats that ended a doubt after 200 ms stated the assumption; it now states 10 s.

--- a/src/calls/__tests__/coldReceiver.test.ts
+++ b/src/calls/__tests__/coldReceiver.test.ts
@@ -34,6 +34,7 @@
     let coldUntilMs: number;
     let result: CallResult;
     let receiver: CallReceiver;
+    let createWith: (slots: number) => CallReceiver;
 
     beforeEach(() => {
         jest.useFakeTimers();
@@ -57,11 +58,13 @@
                 return { kind: "answered", instanceId: "i-1", coldRemainingMs };
             },
         };
-        receiver = createReceiver(
-            client as unknown as BackendClient,
-            1,
-            healthChecks as unknown as HealthCheckClient,
-        );
+        createWith = (slots) =>
+            createReceiver(
+                client as unknown as BackendClient,
+                slots,
+                healthChecks as unknown as HealthCheckClient,
+            );
+        receiver = createWith(1);
     });
 
     const offer = async (forMs: number, perSecond: number): Promise<readonly number[]> => {
@@ -100,6 +103,22 @@
         expect(receiver.loadFor("node-1", "tiles")?.pacingMs).toBeGreaterThan(0);
     });
 
+    // Guards against a late heartbeat from before it became cold, which lifts the limit.
+    test("gets no more than its bound in a second if warm heartbeats from before it turned cold arrive late", async () => {
+        receiver = createWith(6);
+        receiver.configure([service]);
+        await offer(3_000, 20);
+        coldUntilMs = performance.now() + 10_000;
+        const sent: number[] = [];
+        for (let sequence = 2; sequence < 5; sequence += 1) {
+            sent.push(...await offer(250, 80));
+            const { localInstance } = receiver;
+            receiver.updateInstance(localInstance && { ...localInstance, sequence, warmAtMs: performance.now() });
+        }
+        sent.push(...await offer(750, 80));
+        expect(mostInASecond(sent)).toBeLessThanOrEqual(BOUND);
+    });
+
     // Guards against a crash that is noticed only with the next heartbeat.
     test("counts as cold after a connection was reset, until a health check tells that it is warm", async () => {
         receiver.configure([service]);
--- a/src/calls/__tests__/coldness.test.ts
+++ b/src/calls/__tests__/coldness.test.ts
@@ -32,7 +32,18 @@
         const suspected = coldness.suspect(warmAt(1_000), 2_000);
         const early = coldness.state(suspected, coldness.heartbeat(0, 2_050), 2_050);
         expect(coldness.isCold(early, 2_050)).toBe(true);
-        expect(coldness.isCold(coldness.state(early, coldness.heartbeat(0, 2_200), 2_200), 2_200)).toBe(false);
+        const late = coldness.state(early, coldness.heartbeat(0, 11_900), 11_900);
+        expect(coldness.isCold(late, 11_900)).toBe(true);
+        expect(coldness.isCold(coldness.state(late, coldness.heartbeat(0, 12_100), 12_100), 12_100)).toBe(false);
+    });
+
+    // Guards against a heartbeat that was made before it became cold and arrives seconds late.
+    test("that stated that it is cold stays so when a warm heartbeat arrives that may be seconds old", () => {
+        const cold = coldness.state(warmAt(1_000), { notBeforeMs: 1_990, coldRemainingMs: 3_000 }, 2_000);
+        const late = coldness.state(cold, coldness.heartbeat(0, 4_900), 4_900);
+        expect(coldness.isStated(late, 4_900)).toBe(true);
+        const checked = coldness.state(late, { notBeforeMs: 4_901, coldRemainingMs: 0 }, 4_910);
+        expect(coldness.isCold(checked, 4_910)).toBe(false);
     });
 
     // Guards against a late health check response that revokes a newer statement.
--- a/src/calls/coldness.ts
+++ b/src/calls/coldness.ts
@@ -16,8 +16,8 @@
     readonly coldRemainingMs: number;
 };
 
-/** A heartbeat may be under way for this long, over the loopback interface and through two event loops. */
-const HEARTBEAT_TRANSIT_MS = 100;
+/** A heartbeat may arrive seconds after it was made. The response to a health check tells sooner. */
+const HEARTBEAT_TRANSIT_MS = 10_000;
 
 /** The state of a backend server of which nothing is known. It counts as cold. */
 const unknown: Coldness = {
