The head of a response is passed on byte by byte

Cause: http-parser-js decodes heads as ASCII by default and clears the high bit of each byte, so that some become control characters, for which writeHead throws. Evidence: BackendClient.test.ts, "passes on the bytes of a response's head", fails without the change.

Change: heads are decoded in latin1, a character for each byte, as they are sent.

--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -78,6 +78,29 @@
         expect(received[0]).toContain("tenant: kayışčĊ\r\n");
     });
 
+    // Guards against bytes of a head from 0x80 on that become control characters, which can't be passed on.
+    test("passes on the bytes of a response's head, in any encoding", async () => {
+        const name = Buffer.from("çınar-ağacı.pdf Ċé").toString("latin1");
+        behave = (socket) =>
+            socket.write(
+                Buffer.from(
+                    response("r1", "tile", `Content-Disposition: ${name}\xe9\r\n`).replace("OK", name),
+                    "latin1",
+                ),
+            );
+        const result = await send("r1");
+        expect(result).toMatchObject({ kind: "answered", answer: { reason: name } });
+        expect(result.kind === "answered" && result.answer.headers).toContain(`${name}\xe9`);
+    });
+
+    test.each(["a\0b", "a\x1fb", "a\x7fb", "a\rb"])(
+        "takes a response with the header value %j for broken",
+        async (value) => {
+            behave = (socket) => socket.write(response("r1", "tile", `X-Tile: ${value}\r\n`));
+            expect(await send("r1")).toEqual({ kind: "unknown", reason: "broken" });
+        },
+    );
+
     test("reports the limit and the leaving that a response states, also if the request did not run", async () => {
         const extras = ["Limit: 9.5\r\n", "Limit: few\r\nLeaving: 1\r\n", "X-Not-Run: 1\r\nLimit: 0\r\n", ""];
         behave = (socket, _text, count) => socket.write(response(`r${count}`, "tile", extras[count - 1]));
--- a/src/calls/createResponseParser.ts
+++ b/src/calls/createResponseParser.ts
@@ -16,6 +16,12 @@
 const MAXIMUM_CHUNK_LINE_BYTES = 4_096;
 const MAXIMUM_TRAILER_BYTES = 65_536;
 
+/** Heads are passed on byte by byte: a character for each byte. */
+HTTPParser.encoding = "latin1";
+
+/** Characters that can't stand in a line of a head. */
+const CONTROL_CHARACTER_PATTERN = /[\0-\x08\n-\x1f\x7f]/;
+
 /** The size of a chunk. The parser itself takes anything that is no number for the end of the body. */
 const CHUNK_SIZE_PATTERN = /^[0-9a-f]{1,8}[ \t]*(;|$)/i;
 
@@ -41,6 +47,9 @@
         if (state === "BODY_CHUNKHEAD" && line !== undefined && !CHUNK_SIZE_PATTERN.test(line)) {
             throw new Error("invalid chunk size");
         }
+        if (line !== undefined && CONTROL_CHARACTER_PATTERN.test(line)) {
+            throw new Error("control character");
+        }
         trailerBytes = isTrailer ? trailerBytes + (line?.length ?? 0) : 0;
         if (trailerBytes > MAXIMUM_TRAILER_BYTES) {
             throw new Error("trailers too long");
--- a/src/proxy/__tests__/callPath.test.ts
+++ b/src/proxy/__tests__/callPath.test.ts
@@ -448,4 +448,16 @@
         const caller = await startCaller([await startInbound(backend)]);
         expect(await send(caller, {})).toMatchObject({ body: "whole", complete: true });
     });
+
+    // Guards against a response that is not delivered because of its header, although its request has run.
+    test.each(["çınar-ağacı.pdf", "Ċ", "é"])("passes on a response with the header value %j in UTF-8", async (name) => {
+        const bytes = Buffer.from(name).toString("latin1");
+        const backend = await startRawBackend((socket) =>
+            socket.write(`HTTP/1.1 200 OK\r\nX-Name: ${bytes}\r\nContent-Length: 4\r\n\r\ntile`, "latin1")
+        );
+        const caller = await startCaller([await startInbound(backend)]);
+        const answer = await send(caller, { method: "POST", path: "/orders" });
+        expect(answer).toMatchObject({ status: 200, body: "tile" });
+        expect(answer.headers["x-name"]).toBe(bytes);
+    });
 });
