The names of services and instances are sent to backend servers in UTF-8

Cause: heads of requests are encoded in latin1, and only the name of the account was converted to UTF-8 before. Evidence: BackendClient.test.ts, "sends the name of the calling service in UTF-8", fails without the change.

Change: the calling service and the instance id are converted as well. It works because each byte of the UTF-8 text is then a character that latin1 keeps.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -185,9 +185,9 @@
             names.deadlineMs,
             String(Math.max(1, Math.floor(timeoutMs))),
             names.expectedInstance,
-            instanceId,
+            toHeaderBytes(instanceId),
             names.callerService,
-            callerService,
+            toHeaderBytes(callerService),
             ...(account === undefined ? [] : [names.account, toHeaderBytes(account)]),
         ];
         const needsLength = body.length > 0 || hasHeader(headers, "content-type") || method === "POST"
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -78,6 +78,14 @@
         expect(received[0]).toContain("tenant: kayışčĊ\r\n");
     });
 
+    // Guards against the name of a service that becomes another one, or a line break, on its way.
+    test("sends the name of the calling service in UTF-8", async () => {
+        behave = (socket) => socket.write(response("r1", "tile"));
+        const sent = { ...request("r1"), callerService: "kuru-fırınčĊ" };
+        await client.send(address, sent, 60_000, new AbortController().signal);
+        expect(received[0]).toContain("caller: kuru-fırınčĊ\r\n");
+    });
+
     // Guards against bytes of a head from 0x80 on that become control characters, which can't be passed on.
     test("passes on the bytes of a response's head, in any encoding", async () => {
         const name = Buffer.from("çınar-ağacı.pdf Ċé").toString("latin1");
