A connection that was given up before it was established doesn't count as refused

Cause: BackendClient told all ends before the connection was established apart by nothing. Change: "unreachable" means that the backend server refused the connection; the others are "cancelled" and "expired".

Measured: BackendClient.test.ts, "does not report a backend server as unreachable whose connection was given up…", fails without the change; BackendClient, CrashGuard and cold tests pass, 62.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -24,6 +24,9 @@
 /** The response of an instance to a request for another one. */
 const MISDIRECTED_STATUS = 421;
 
+/** Why a request was not sent, by what closed its connection before it was established. */
+const notRunReasons = { refused: "unreachable", cancelled: "cancelled", "timed-out": "expired" } as const;
+
 const headerLines = (headers: readonly string[]): string => {
     let lines = "";
     for (let index = 0; index < headers.length; index += 2) {
@@ -98,7 +101,7 @@
                 }
                 return this.classify(result.answer);
             case "unreachable":
-                return { kind: "not-run", reason: "unreachable", retryAfterMs: 0 };
+                return { kind: "not-run", reason: notRunReasons[closeReason ?? "refused"], retryAfterMs: 0 };
             case "broken":
                 if (closeReason === "timed-out") {
                     this.closeIdle();
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -246,6 +246,14 @@
         expect(received).toHaveLength(1);
     });
 
+    // Guards against a caller that leaves while its connection is being established, and counts as a crash.
+    test("does not report a backend server as unreachable whose connection was given up before it was established", async () => {
+        const caller = new AbortController();
+        const cancelled = send("r1", 60_000, caller.signal);
+        caller.abort();
+        expect(await cancelled).toMatchObject({ kind: "not-run", reason: "cancelled" });
+    });
+
     test("closes the connection of a request that its caller cancels", async () => {
         const controller = new AbortController();
         const closed = new Promise<void>((resolve) => {
--- a/src/calls/__tests__/CrashGuard.test.ts
+++ b/src/calls/__tests__/CrashGuard.test.ts
@@ -97,7 +97,11 @@
         await run(cancelled, { fingerprint: "completed", remainingMs: 60_000 });
         await run(cancelled, { fingerprint: "expired", remainingMs: 0 });
         await run(ended, { fingerprint: undefined });
+        await run(cancelled, { fingerprint: "left", remainingMs: 60_000 });
+        await run({ kind: "not-run", reason: "cancelled", retryAfterMs: 0 }, { fingerprint: undefined });
+        await run({ kind: "not-run", reason: "expired", retryAfterMs: 0 }, { fingerprint: undefined });
         expect(evidence.size).toBe(0);
+        guard.onNewStart();
         await run(cancelled, { fingerprint: "earlier", remainingMs: 60_000 });
         guard.onNewStart();
         await run(ended, { fingerprint: undefined }, { ...instance, bornMs: 2 });
