--- a/src/departures/DepartureTask.ts
+++ b/src/departures/DepartureTask.ts
@@ -1,44 +1,24 @@
-import { Clock } from "../core/Clock";
 import { Disposable } from "../core/Disposable";
-import { EventLog } from "../core/EventLog";
 import { ControlDepartureMessage } from "./ControlDepartureMessage";
-import { decideAcknowledgement } from "./decideAcknowledgement";
 import { Departure } from "./Departure";
 import { DepartureMessage } from "./DepartureMessage";
 import { DepartureReport } from "./DepartureReport";
 import { departures } from "./departures";
 import { DepartureStore } from "./DepartureStore";
+import { DepartureWrites } from "./DepartureWrites";
 import { knowsDepartures } from "./knowsDepartures";
 import { OwnDepartures } from "./OwnDepartures";
 
 /** Dependencies and callbacks of a `DepartureTask`. */
-type DepartureOptions = {
-    readonly clock: Clock;
-    readonly log: Pick<EventLog, "info" | "warn">;
+type DepartureOptions = Omit<ConstructorParameters<typeof DepartureWrites>[0], "sendToNeighbours"> & {
     /** Sends a message to all neighbours. Returns their ids. */
     readonly sendToNeighbours: (message: DepartureMessage) => ReadonlySet<string>;
-    /** Sends a message to the control replica at an address, or to all. */
-    readonly sendToControl: (message: ControlDepartureMessage, address?: string) => void;
-    readonly isControlConnected: () => boolean;
     /** Called when a departure was learned from another process, and when announcements need no longer be held. */
     readonly onChange: () => void;
-    readonly onDecided: (outcome: "acknowledged" | "refused") => void;
 };
 
-/** A departure that is being stored elsewhere. */
-type Write = {
-    readonly departure: Departure;
-    readonly number: number;
-    readonly startedMs: number;
-    readonly confirmedBy: Set<string>;
-    neighbours: ReadonlySet<string>;
-    isCommitted: boolean;
-    outcome: "acknowledged" | "refused" | undefined;
-    readonly waiting: ((isAcknowledged: boolean) => void)[];
-};
-
-/** Decisions depend on time, so they are made again at this interval while one is open. */
-const DECISION_INTERVAL_MS = 50;
+/** What is known depends on time, so it is checked at this interval until it suffices. */
+const CHECK_INTERVAL_MS = 50;
 
 /** Interval at which control is asked again for what it has not answered. */
 const RESEND_INTERVAL_MS = 1_000;
@@ -53,23 +33,27 @@
  * acknowledged, and a restarted process learns from them what an earlier one acknowledged.
  */
 export class DepartureTask extends DepartureStore implements Disposable {
+    private readonly startedMs: number;
+    private readonly writes: DepartureWrites;
     private own: readonly Departure[] = [];
-    private writes: readonly Write[] = [];
-    private lastNumber = 0;
     private hasControlAnswered = false;
-    private readonly startedMs: number;
     /** The neighbours that answered since the start, with whether an earlier process had informed them. */
     private readonly answeredBy = new Map<string, boolean>();
     private isKnown = false;
     /** True once control or an informed neighbour has answered. */
     private isInformed = false;
-    private decisionTimer: NodeJS.Timeout | undefined;
+    private checkTimer: NodeJS.Timeout | undefined;
     private resendTimer: NodeJS.Timeout | undefined;
 
     public constructor(private readonly options: DepartureOptions) {
         super(options.clock);
         this.startedMs = options.clock.monotonicMs();
-        this.decide();
+        this.writes = new DepartureWrites({
+            ...options,
+            sendToNeighbours: (number) =>
+                options.sendToNeighbours({ kind: "store", number, own: this.ownDepartures() }),
+        });
+        this.checkKnown();
         this.scheduleResend();
     }
 
@@ -92,34 +76,24 @@
         const departure: Departure = departures.find(this.own, { bornMs, instanceId }, nowMs)
             ?? { instanceId, bornMs: bornMs || this.options.clock.wallMs(), leftAtMs: nowMs };
         this.own = departures.add(this.own, [departure], nowMs);
-        const write = this.writes.find((known) => known.departure === departure && known.outcome !== "refused")
-            ?? this.startWrite(departure);
-        if (write.outcome === "acknowledged") {
-            return Promise.resolve(true);
-        }
-        return new Promise((resolve) => {
-            write.waiting.push(resolve);
-            this.decide();
-        });
+        const stored = this.writes.store(departure);
+        this.scheduleResend();
+        return stored;
     }
 
     /** To be called when the link to a control replica opens, and when the replica says that it leads. */
     public onControl(address: string): void {
-        this.sendToControl(address);
+        this.askControl(address);
     }
 
     /** Handles a message of a control replica. */
     public receiveFromControl(message: ControlDepartureMessage): void {
         switch (message.kind) {
             case "departure-recorded":
-                this.update(message.number, (write) => {
-                    write.isCommitted = true;
-                });
+                this.writes.onCommitted(message.number);
                 return;
             case "departures":
-                this.learn("control", message.departures).forEach((write) => {
-                    write.isCommitted = true;
-                });
+                this.learn("control", message.departures, true);
                 this.hasControlAnswered ||= message.isComplete;
                 this.onAnswer(message.isComplete);
                 return;
@@ -127,10 +101,9 @@
     }
 
     public dispose(): void {
-        clearTimeout(this.decisionTimer);
+        clearTimeout(this.checkTimer);
         clearTimeout(this.resendTimer);
-        this.writes.forEach(({ waiting }) => waiting.splice(0).forEach((resolve) => resolve(false)));
-        this.writes = [];
+        this.writes.dispose();
     }
 
     protected override ownDepartures(): OwnDepartures {
@@ -141,133 +114,83 @@
         neighbourId: string,
         { isInformed, yours }: DepartureMessage & { readonly kind: "remembered"; },
     ): void {
-        this.learn(neighbourId, yours);
+        this.learn(neighbourId, yours, false);
         if (!this.isKnown) {
             this.answeredBy.set(neighbourId, isInformed);
         }
-        this.openWrites().forEach((write) => this.sendToNeighbours(write));
+        this.writes.onNeighbour();
         this.onAnswer(isInformed);
     }
 
     protected override onStored(neighbourId: string, number: number): void {
-        this.update(number, (write) => write.confirmedBy.add(neighbourId));
+        this.writes.onStored(neighbourId, number);
     }
 
     private nowMs(): number {
         return this.options.clock.monotonicMs();
     }
 
-    private startWrite(departure: Departure): Write {
-        const nowMs = this.nowMs();
-        this.lastNumber += 1;
-        const write: Write = {
-            departure,
-            number: this.lastNumber,
-            startedMs: nowMs,
-            confirmedBy: new Set(),
-            neighbours: new Set(),
-            isCommitted: false,
-            outcome: undefined,
-            waiting: [],
-        };
-        this.writes = [
-            ...this.writes.filter((known) => known.departure !== departure && this.find(known.departure)),
-            write,
-        ];
-        this.sendToNeighbours(write);
-        this.sendWrite(write);
-        this.scheduleResend();
-        return write;
-    }
-
-    private openWrites(): readonly Write[] {
-        return this.writes.filter(({ outcome }) => outcome === undefined);
-    }
-
-    private sendToNeighbours(write: Write): void {
-        const message: DepartureMessage = { kind: "store", number: write.number, own: this.ownDepartures() };
-        write.neighbours = this.options.sendToNeighbours(message);
-    }
-
-    /** Asks control for all that it has not answered. Returns false if there is nothing. */
-    private sendToControl(address?: string): boolean {
-        const uncommitted = this.writes.filter(({ departure, isCommitted }) => !isCommitted && this.find(departure));
+    /** Asks control for all that it has not answered. */
+    private askControl(address?: string): void {
         if (!this.hasControlAnswered) {
             this.options.sendToControl({ kind: "recall-departures" }, address);
         }
-        uncommitted.forEach((write) => this.sendWrite(write, address));
-        return !this.hasControlAnswered || uncommitted.length > 0;
-    }
-
-    private sendWrite({ departure, number }: Write, address?: string): void {
-        departures.toReports([departure], this.nowMs()).forEach((report) =>
-            this.options.sendToControl({ kind: "record-departure", number, departure: report }, address)
-        );
+        this.writes.resend(address);
     }
 
     private scheduleResend(): void {
+        if (this.hasControlAnswered && !this.writes.hasUncommitted) {
+            return;
+        }
         this.resendTimer ??= setTimeout(() => {
             this.resendTimer = undefined;
-            if (this.sendToControl()) {
-                this.scheduleResend();
-            }
+            this.askControl();
+            this.scheduleResend();
         }, this.isKnown ? RESEND_INTERVAL_MS : HOLDING_RESEND_INTERVAL_MS);
     }
 
-    private update(number: number, change: (write: Write) => void): void {
-        const write = this.writes.find((candidate) => candidate.number === number);
-        if (write) {
-            change(write);
-            this.decide();
-        }
-    }
-
     /** @param isInformed true if who answered knows what earlier processes of this host acknowledged */
     private onAnswer(isInformed: boolean): void {
         if (isInformed && !this.isInformed) {
             this.isInformed = true;
-            this.lastNumber += 1;
-            this.options.sendToNeighbours({ kind: "store", number: this.lastNumber, own: this.ownDepartures() });
+            this.writes.inform();
         }
-        this.decide();
+        this.checkKnown();
     }
 
     /** Adds what another process remembers of this host, and has the others store it too. */
-    private learn(from: string, reports: readonly DepartureReport[]): readonly Write[] {
+    private learn(from: string, reports: readonly DepartureReport[], isCommitted: boolean): void {
         const nowMs = this.nowMs();
         const remembered = departures.fromReports(reports, nowMs);
         const news = remembered.filter((departure) => !departures.find(this.own, departure, nowMs));
         if (news.length === 0) {
-            return [];
+            return;
         }
         this.own = departures.add(this.own, news, nowMs);
         for (const { bornMs, instanceId, leftAtMs } of news) {
             const ageMs = Math.round(nowMs - leftAtMs);
             this.options.log.info("departure-recalled", { instance: instanceId, bornMs, ageMs, from });
         }
-        const writes = this.own.filter((departure) => news.includes(departure)).map((added) => this.startWrite(added));
+        this.own.filter((departure) => news.includes(departure)).forEach((departure) =>
+            this.writes.handOn(departure, isCommitted)
+        );
+        this.scheduleResend();
         this.options.onChange();
-        return writes;
     }
 
-    private decide(): void {
-        this.decideKnown();
-        this.openWrites().forEach((write) => this.decideWrite(write));
-        if (!this.isKnown || this.openWrites().length > 0) {
-            this.decisionTimer ??= setTimeout(() => {
-                this.decisionTimer = undefined;
-                this.decide();
-            }, DECISION_INTERVAL_MS);
+    private checkKnown(): void {
+        if (this.isKnown) {
+            return;
         }
-    }
-
-    private decideKnown(): void {
         const elapsedMs = this.nowMs() - this.startedMs;
         const controlAnswered = this.hasControlAnswered;
         const neighboursAnswered = this.answeredBy.size;
         const informedNeighbours = [...this.answeredBy.values()].filter((isInformed) => isInformed).length;
-        const answers = { elapsedMs, controlAnswered, neighboursAnswered, informedNeighbours };
-        if (this.isKnown || !knowsDepartures(answers)) {
+        if (!knowsDepartures({ elapsedMs, controlAnswered, neighboursAnswered, informedNeighbours })) {
+            this.checkTimer ??= setTimeout(() => {
+                this.checkTimer = undefined;
+                this.checkKnown();
+            }, CHECK_INTERVAL_MS);
             return;
         }
         this.isKnown = true;
@@ -280,31 +203,4 @@
         });
         this.options.onChange();
     }
-
-    private decideWrite(write: Write): void {
-        const { confirmedBy, departure, isCommitted, neighbours, startedMs, waiting } = write;
-        const elapsedMs = this.nowMs() - startedMs;
-        const decision = decideAcknowledgement({
-            elapsedMs,
-            isCommitted,
-            isControlConnected: this.options.isControlConnected(),
-            neighbours: neighbours.size,
-            confirmations: confirmedBy.size,
-        });
-        if (decision === "wait") {
-            return;
-        }
-        const isAcknowledged = decision === "acknowledge";
-        write.outcome = isAcknowledged ? "acknowledged" : "refused";
-        this.options.onDecided(write.outcome);
-        this.options.log[isAcknowledged ? "info" : "warn"]("departure-stored", {
-            instance: departure.instanceId,
-            bornMs: departure.bornMs,
-            outcome: write.outcome,
-            tookMs: Math.round(elapsedMs),
-            control: isCommitted,
-            neighbours: confirmedBy.size,
-        });
-        waiting.splice(0).forEach((resolve) => resolve(isAcknowledged));
-    }
 }
--- a/src/departures/departures.ts
+++ b/src/departures/departures.ts
@@ -55,4 +55,4 @@
         .map(({ ageMs, bornMs, instanceId }) => ({ bornMs, instanceId, leftAtMs: nowMs - ageMs }));
 
 /** Pure functions on the departures from one host, oldest first. */
-export const departures = { retentionMs: RETENTION_MS, add, find, toReports, fromReports } as const;
+export const departures = { retentionMs: RETENTION_MS, isKept, add, find, toReports, fromReports } as const;
