--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -54,18 +54,24 @@
     await pause(CONFIG_APPLY_MS + 500);
     // The route is in the acknowledged version, so a 404 is what only an older version allows.
     let stale = 0;
+    let served = 0;
     for (const { name } of mesh.nodes) {
         for (let index = 0; index < 10; index += 1) {
-            const { status } = await mesh.call(name, {
-                path: "/spring/1",
-                hostname: HOSTNAME,
-                id: `q-${name}-${index}`,
-                deadlineMs: 1_200,
-            });
+            const sendTo = (path, id) => mesh.call(name, { path, hostname: HOSTNAME, id, deadlineMs: 1_200 });
+            const old = await sendTo("/trees/1", `old-${name}-${index}`);
+            const { status } = await sendTo("/spring/1", `new-${name}-${index}`);
+            served += old.status === 200 ? 1 : 0;
             stale += status === 404 ? 1 : 0;
-            record(`request q-${name}-${index} on the new route: ${status}`);
+            const ran = new Set(mesh.allRuns().map(({ id }) => id));
+            record(
+                `request old-${name}-${index} on the old route: ${old.status} ran=${ran.has(`old-${name}-${index}`)}`,
+            );
+            record(`request new-${name}-${index} on the new route: ${status} ran=${ran.has(`new-${name}-${index}`)}`);
         }
     }
+    if (served === 0) {
+        return 2;
+    }
     const readVersion = async (when) => {
         const { status, text } = await mesh.order("GET", "/filbertdeal/Config.Get");
         const version = JSON.parse(text).ConfigVersion;
