Review stand-ins: end all processes also after an unhandled error

Cause: a script that was terminated, or failed outside its own handling, left the processes that it had started.

Change: the stand-in platform ends them as the script exits, and a signal makes the script exit with 2.

--- a/review/lib-2/StandInMesh.mjs
+++ b/review/lib-2/StandInMesh.mjs
@@ -119,6 +119,9 @@
     static async start({ controls = 3, later = [], nodes, record }) {
         const mesh = new StandInMesh();
         mesh.record = record;
+        // Also after an error that nobody handles, no process stays behind.
+        process.on("exit", () => mesh.#processes.forEach((child) => child.kill("SIGKILL")));
+        ["SIGTERM", "SIGINT"].forEach((signal) => process.on(signal, () => process.exit(2)));
         mesh.folder = await mkdtemp(join(tmpdir(), "review-"));
         mesh.controls = Array.from({ length: controls }, (_, index) => ({
             name: `core-${index + 1}`,
