Apply commands in their stored form, refuse what can't be kept

Cause: the leader applied a command as it had it in memory, all others as the codec gave it back. Whatever the codec does not keep makes the replicas differ.

Evidence: a state machine that records its commands gets another text than its own store holds.

Change: commands enter the log after they were encoded and decoded. Text that has no UTF-8 encoding, numbers that a double does not hold, keys given twice, rows longer than their columns and flags that are no booleans are refused with 400.

--- a/src/configuration/CallerLimits.ts
+++ b/src/configuration/CallerLimits.ts
@@ -6,4 +6,6 @@
     readonly headerTimeoutMs: number;
     /** The shortest time that idle connections of callers are kept open. */
     readonly idleTimeoutMs: number;
+    /** See `MeshConfiguration`. */
+    readonly extensions?: string;
 };
--- a/src/configuration/ClientAccount.ts
+++ b/src/configuration/ClientAccount.ts
@@ -7,6 +7,8 @@
     readonly priority?: number;
     /** Undefined without a limit. */
     readonly quota?: AccountQuota;
+    /** See `MeshConfiguration`. Not sent to nodes. */
+    readonly extensions?: string;
 };
 
 /** The requests that an account may have run, on all nodes together. */
--- a/src/configuration/ConfigurationDelta.ts
+++ b/src/configuration/ConfigurationDelta.ts
@@ -19,6 +19,8 @@
     readonly limits: CallerLimits;
     /** Undefined if the resulting configuration has no accounts. */
     readonly accounts?: AccountChanges;
+    /** Those of the resulting configuration, see `MeshConfiguration`. */
+    readonly extensions?: string;
     /** Digest of the whole resulting configuration; detects losses in transmission. */
     readonly digest: string;
 };
--- a/src/configuration/MeshConfiguration.ts
+++ b/src/configuration/MeshConfiguration.ts
@@ -12,4 +12,6 @@
     readonly limits: CallerLimits;
     /** Undefined if the mesh does not know client accounts: callers then need no key. */
     readonly accounts?: readonly ClientAccount[];
+    /** Fields that this release does not use, as the text of a JSON object. Kept for operators, who read them back. */
+    readonly extensions?: string;
 };
--- a/src/configuration/MeshRoute.ts
+++ b/src/configuration/MeshRoute.ts
@@ -21,10 +21,14 @@
     readonly weighted: boolean;
     /** True if callers need no key. Undefined if the configuration does not state it. */
     readonly allowsAnonymous?: boolean;
+    /** See `MeshConfiguration`. */
+    readonly extensions?: string;
 };
 
 /** A service and its weight among the destinations of a route. */
 type WeightedService = {
     readonly service: string;
     readonly weight: number;
+    /** See `MeshConfiguration`. */
+    readonly extensions?: string;
 };
--- a/src/configuration/MeshService.ts
+++ b/src/configuration/MeshService.ts
@@ -10,4 +10,6 @@
     readonly coldStartMs?: number;
     /** Requests a second that a cold backend server tolerates; undefined or 0 means no limit. */
     readonly coldRequestsPerSecond?: number;
+    /** See `MeshConfiguration`. */
+    readonly extensions?: string;
 };
--- a/src/configuration/configurationDeltas.ts
+++ b/src/configuration/configurationDeltas.ts
@@ -20,8 +20,8 @@
 };
 
 /** A hexadecimal sum of the digests of all items, because the order of routes, services and accounts has no meaning. */
-const digest = ({ accounts = [], limits, routes, services, version }: MeshConfiguration): string => {
-    let sum = BigInt(`0x${digestOf({ version, limits })}`);
+const digest = ({ accounts = [], extensions, limits, routes, services, version }: MeshConfiguration): string => {
+    let sum = BigInt(`0x${digestOf({ version, limits, extensions })}`);
     for (const item of [...routes, ...services, ...accounts]) {
         sum += itemDigest(item);
     }
@@ -61,6 +61,7 @@
     removedServices: removedNames(before?.services ?? [], after.services),
     changedServices: changedItems(before?.services ?? [], after.services),
     limits: after.limits,
+    ...(after.extensions !== undefined && { extensions: after.extensions }),
     ...(after.accounts && {
         accounts: {
             removed: removedNames(before?.accounts ?? [], after.accounts),
@@ -81,6 +82,7 @@
         routes: applyItems(base?.routes ?? [], delta.removedRoutes, delta.changedRoutes),
         services: applyItems(base?.services ?? [], delta.removedServices, delta.changedServices),
         limits: delta.limits,
+        ...(delta.extensions !== undefined && { extensions: delta.extensions }),
         ...(delta.accounts && {
             accounts: applyItems(base?.accounts ?? [], delta.accounts.removed, delta.accounts.changed),
         }),
--- a/src/consensus/ConsensusTask.ts
+++ b/src/consensus/ConsensusTask.ts
@@ -19,6 +19,7 @@
 import { Role } from "./Role";
 import { StateMachine } from "./StateMachine";
 import { step } from "./step";
+import { toStoredForm } from "./toStoredForm";
 
 const PROPOSAL_TIMEOUT_MS = 5_000;
 
@@ -109,7 +110,8 @@
 
     /** Proposes a command and waits until this replica has applied it. */
     public propose(command: unknown): Promise<ProposalOutcome> {
-        return this.request((requestId) => ({ kind: "propose", requestId, command }));
+        const stored = toStoredForm(command);
+        return this.request((requestId) => ({ kind: "propose", requestId, command: stored }));
     }
 
     public changeMembership(change: MembershipChange): Promise<ProposalOutcome> {
--- a/src/consensus/__tests__/ConsensusTask.test.ts
+++ b/src/consensus/__tests__/ConsensusTask.test.ts
@@ -1,4 +1,5 @@
 import { RandomSource } from "../../core/RandomSource";
+import { fileCodec } from "../../transport/fileCodec";
 import { ConsensusStatus } from "../ConsensusStatus";
 import { ConsensusTask } from "../ConsensusTask";
 import { ConsensusTimings } from "../ConsensusTimings";
@@ -102,6 +103,19 @@
         await task.dispose();
     });
 
+    // Guards against review/6: the leader applied a command as it had it in memory, the others as they received it.
+    test("applies a command as its store holds it", async () => {
+        const applied: unknown[] = [];
+        const machine = new SumStateMachine();
+        machine.apply = (command) => applied.push(command);
+        const { task } = await startTask(new MemoryReplicaStore(), machine);
+        const command = { text: "Plane \ud83c", created: new Date(0), nested: new Map([["__proto__", -0]]) };
+        await expect(task.propose(command)).resolves.toMatchObject({ kind: "applied" });
+        await task.dispose();
+        expect(applied).toEqual([fileCodec.decode(fileCodec.encode(command))]);
+        expect(applied).not.toEqual([command]);
+    });
+
     test("replays no entry twice after a snapshot that was taken while entries were applied", async () => {
         const store = new RecordingStore();
         const { task } = await startTask(store, new SumStateMachine(), 3);
--- a/src/control/AdminServer.ts
+++ b/src/control/AdminServer.ts
@@ -1,6 +1,8 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { catalogueLimits } from "../catalogue/catalogueLimits";
+import { decodeUtf8 } from "../core/decodeUtf8";
 import { Disposable } from "../core/Disposable";
+import { parseJson } from "../core/parseJson";
 import { listenHttp } from "../transport/listenHttp";
 import { SocketAddress } from "../transport/SocketAddress";
 import { AdminRequest } from "./AdminRequest";
@@ -21,7 +23,7 @@
         }
         chunks.push(chunk as Buffer);
     }
-    return length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString());
+    return length === 0 ? undefined : parseJson(decodeUtf8(Buffer.concat(chunks)));
 };
 
 /** Serves the administration API over HTTP with JSON bodies. */
--- a/src/node/HostServer.ts
+++ b/src/node/HostServer.ts
@@ -1,8 +1,11 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import * as z from "zod";
+import { decodeUtf8 } from "../core/decodeUtf8";
 import { Disposable } from "../core/Disposable";
+import { parseJson } from "../core/parseJson";
 import { listenHttp } from "../transport/listenHttp";
 import { proofsEqual } from "../transport/proofsEqual";
+import { readBody } from "../transport/readBody";
 import { SocketAddress } from "../transport/SocketAddress";
 import { announcementSchema } from "./announcementSchema";
 
@@ -18,14 +21,11 @@
 };
 
 const readText = async (request: IncomingMessage): Promise<string> => {
-    let text = "";
-    for await (const chunk of request) {
-        text += String(chunk);
-        if (text.length > MAXIMUM_BODY_BYTES) {
-            throw new Error(`the body exceeds ${MAXIMUM_BODY_BYTES} bytes`);
-        }
+    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    if (!body) {
+        throw new Error(`the body exceeds ${MAXIMUM_BODY_BYTES} bytes`);
     }
-    return text;
+    return decodeUtf8(body);
 };
 
 const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
@@ -63,7 +63,7 @@
         const { announce, drain, members, status } = this.options;
         switch (`${request.method} ${request.url}`) {
             case "POST /v1/backends":
-                announce(announcementSchema.parse(JSON.parse(await readText(request))));
+                announce(announcementSchema.parse(parseJson(await readText(request))));
                 sendJson(response, 200, { accepted: true });
                 return;
             case "GET /v1/status":
