Compare the states of replicas, and replace one that differs

Cause: no replica learned what state the others reached with the same entries.

Change: the leader states a digest of its state with its last applied entry, after each change and once a second. A replica that differs logs state-differs, counts it and asks for the leader's state. Digests of different formats, of different releases, are not compared. A node counts rejected configurations, and asks a replica that it rejected twice again after 300 ms.

--- a/src/consensus/ConsensusAction.ts
+++ b/src/consensus/ConsensusAction.ts
@@ -11,6 +11,8 @@
     | {
         readonly kind: "install-snapshot";
         readonly message: ConsensusMessage & { readonly kind: "snapshot-request"; };
+        /** Those of the log after the snapshot. */
+        readonly entries: readonly LogEntry[];
     }
     | { readonly kind: "compact"; readonly index: number; }
     | { readonly kind: "send"; readonly to: string; readonly message: ConsensusMessage; }
--- a/src/consensus/ConsensusInput.ts
+++ b/src/consensus/ConsensusInput.ts
@@ -7,6 +7,8 @@
     | { readonly kind: "heartbeat-timeout"; }
     | { readonly kind: "quorum-check-timeout"; }
     | { readonly kind: "receive"; readonly from: string; readonly message: ConsensusMessage; }
+    /** The leader stated another state at the last applied entry than this replica has. */
+    | { readonly kind: "state-differs"; }
     | { readonly kind: "propose"; readonly requestId: string; readonly command: unknown; }
     | { readonly kind: "change-membership"; readonly requestId: string; readonly change: MembershipChange; }
     | { readonly kind: "read"; readonly requestId: string; }
--- a/src/consensus/ConsensusMessage.ts
+++ b/src/consensus/ConsensusMessage.ts
@@ -1,5 +1,6 @@
 import { LogEntry } from "./LogEntry";
 import { Membership } from "./Membership";
+import { StateStatement } from "./StateStatement";
 
 /**
  * A message between replicas. `term` is the sender's term; in a pre-vote request and in the response that grants it, it
@@ -25,6 +26,8 @@
         readonly entries: readonly LogEntry[];
         readonly commitIndex: number;
         readonly round: number;
+        /** Added now and then by the sending task. */
+        readonly applied?: StateStatement;
     }
     | {
         readonly kind: "append-response";
@@ -46,4 +49,8 @@
         readonly round: number;
         /** The state machine's state, added by the sending task. */
         readonly data?: unknown;
-    };
+        /** True if it also replaces a state that includes the same entries; see `state-request`. */
+        readonly replacesState?: boolean;
+    }
+    /** Asks the leader for its state, since that of the sender differs from it at the same entry. */
+    | { readonly kind: "state-request"; readonly term: number; };
--- a/src/consensus/ConsensusTask.ts
+++ b/src/consensus/ConsensusTask.ts
@@ -9,6 +9,7 @@
 import { ConsensusStatus } from "./ConsensusStatus";
 import { ConsensusTimings } from "./ConsensusTimings";
 import { createInitialState } from "./createInitialState";
+import { LogEntry } from "./LogEntry";
 import { logOperations } from "./logOperations";
 import { Membership } from "./Membership";
 import { MembershipChange } from "./MembershipChange";
@@ -17,7 +18,9 @@
 import { ReplicaTransport } from "./ReplicaTransport";
 import { responsiveness } from "./responsiveness";
 import { Role } from "./Role";
+import { StateComparison } from "./StateComparison";
 import { StateMachine } from "./StateMachine";
+import { StateStatement } from "./StateStatement";
 import { step } from "./step";
 import { toStoredForm } from "./toStoredForm";
 
@@ -41,6 +44,8 @@
     readonly onChange: (status: ConsensusStatus) => void;
     /** Called when this leader steps down since too few peers responded; `responded` has the ids of those that did. */
     readonly onQuorumLost?: (responded: readonly string[]) => void;
+    /** Called when the state of this replica differs from the leader's at the same entry. The leader's replaces it. */
+    readonly onStateDiffers?: (appliedIndex: number) => void;
     /**
      * Called when a step failed, usually because of a disk error. The disk can't be trusted then, so the process must
      * stop.
@@ -61,6 +66,7 @@
     private readonly resources = new DisposableStore();
     private readonly mailbox: Mailbox<ConsensusInput>;
     private readonly pendingRequests = new Map<string, PendingRequest>();
+    private readonly comparison: StateComparison;
     private state: ConsensusState | undefined;
     private appliedIndex = 0;
     private electionTimer: NodeJS.Timeout | undefined;
@@ -72,6 +78,7 @@
     public constructor(private readonly options: ConsensusOptions) {
         this.mailbox = new Mailbox((input) => this.handle(input), (error) => this.fail(error));
         this.resources.add(this.mailbox);
+        this.comparison = new StateComparison(options.stateMachine);
     }
 
     /** Recovers the stored state and starts the timers. */
@@ -164,6 +171,9 @@
         for (const action of actions) {
             await this.perform(action, state);
         }
+        if (input.kind === "receive" && input.message.kind === "append-request") {
+            this.compareState(input.from, input.message.applied);
+        }
         this.publishStatus();
     }
 
@@ -178,13 +188,13 @@
                 this.afterPersist(action.entries.at(-1)?.index ?? 0, state);
                 return;
             case "install-snapshot":
-                await this.installSnapshot(action.message);
+                await this.installSnapshot(action.message, action.entries);
                 return;
             case "compact":
                 await this.saveSnapshot(action.index, state);
                 return;
             case "send":
-                transport.send(action.to, this.withSnapshotData(action.message));
+                transport.send(action.to, this.withStatement(action.to, this.withSnapshotData(action.message)));
                 return;
             case "reset-election-timer":
                 this.resetElectionTimer();
@@ -231,10 +241,31 @@
         };
     }
 
-    private async installSnapshot(message: ConsensusMessage & { readonly kind: "snapshot-request"; }): Promise<void> {
+    /** Adds what this leader states of its state, if the receiver then knows that all of its entries are committed. */
+    private withStatement(to: string, message: ConsensusMessage): ConsensusMessage {
+        if (message.kind !== "append-request" || message.commitIndex !== this.appliedIndex) {
+            return message;
+        }
+        const applied = this.comparison.statementFor(to, this.appliedIndex, performance.now());
+        return applied ? { ...message, applied } : message;
+    }
+
+    private compareState(from: string, stated: StateStatement | undefined): void {
+        const isFromLeader = this.state?.leaderId === from;
+        if (isFromLeader && stated && this.comparison.differs(stated, this.appliedIndex)) {
+            this.options.onStateDiffers?.(this.appliedIndex);
+            this.mailbox.post({ kind: "state-differs" });
+        }
+    }
+
+    private async installSnapshot(
+        message: ConsensusMessage & { readonly kind: "snapshot-request"; },
+        entries: readonly LogEntry[],
+    ): Promise<void> {
         const { data, index, membership, snapshotTerm: term } = message;
-        await this.options.store.saveSnapshot({ index, term, membership, data }, []);
+        await this.options.store.saveSnapshot({ index, term, membership, data }, entries);
         this.options.stateMachine.restoreSnapshot(data);
+        this.comparison.reset();
         this.appliedIndex = index;
         this.options.transport.setMembership(membership);
     }
--- a/src/consensus/__tests__/step.test.ts
+++ b/src/consensus/__tests__/step.test.ts
@@ -46,6 +46,62 @@
     });
 });
 
+describe("a snapshot that replaces the state", () => {
+    const entries = [1, 2, 3].map((index): LogEntry => ({
+        index,
+        term: 1,
+        payload: { kind: "command", command: index },
+    }));
+    const appended = advance(newReplica("b"), [{
+        kind: "receive",
+        from: "a",
+        message: {
+            kind: "append-request",
+            term: 1,
+            previousIndex: 0,
+            previousTerm: 0,
+            entries,
+            commitIndex: 1,
+            round: 1,
+        },
+    }, { kind: "persisted", index: 3 }]);
+    const request = {
+        kind: "snapshot-request",
+        term: 1,
+        index: 2,
+        snapshotTerm: 1,
+        membership,
+        round: 2,
+        data: "state",
+        replacesState: true,
+    } as const;
+
+    // Guards against the loss of entries that this replica has acknowledged, while its state is replaced.
+    test("keeps the entries after it", () => {
+        const { actions, state } = step(appended, { kind: "receive", from: "a", message: request });
+        expect(state.log).toMatchObject({ snapshotIndex: 2, entries: [entries[2]] });
+        expect(state).toMatchObject({ commitIndex: 2, durableIndex: 3 });
+        expect(actions).toContainEqual({ kind: "install-snapshot", message: request, entries: [entries[2]] });
+    });
+
+    test("is not installed if it is older than what is committed", () => {
+        const { actions, state } = step(
+            { ...appended, commitIndex: 3 },
+            { kind: "receive", from: "a", message: request },
+        );
+        expect(state.log.snapshotIndex).toBe(0);
+        expect(actions.map(({ kind }) => kind)).not.toContain("install-snapshot");
+    });
+
+    test("is sent on request by the leader of the term only", () => {
+        const ask = { kind: "receive", from: "b", message: { kind: "state-request", term: 1 } } as const;
+        expect(step(newLeader(), ask).actions).toMatchObject([{ to: "b", message: { replacesState: true } }]);
+        expect(step(appended, ask).actions).toEqual([]);
+        const outdated = { ...ask, message: { ...ask.message, term: 0 } };
+        expect(step(newLeader(), outdated).actions).toEqual([]);
+    });
+});
+
 describe("a snapshot", () => {
     const entry = (index: number): LogEntry => ({ index, term: 1, payload: { kind: "command", command: index } });
     const append: ConsensusInput = {
--- a/src/consensus/followerHandlers.ts
+++ b/src/consensus/followerHandlers.ts
@@ -67,13 +67,32 @@
     respond(context, from, true, matchIndex, round);
 };
 
+/** Replaces the log up to the snapshot's index. Entries after it are kept if the log agrees with it at that index. */
+const installSnapshot = (context: StepContext, request: SnapshotRequest): void => {
+    const { index, membership, snapshotTerm } = request;
+    const { log } = context.state;
+    const agrees = logOperations.termAt(log, index) === snapshotTerm;
+    const entries = agrees ? logOperations.entriesFrom(log, index + 1, log.entries.length) : [];
+    context.update({
+        log: { snapshotIndex: index, snapshotTerm, snapshotMembership: membership, entries },
+        commitIndex: index,
+        durableIndex: index + entries.length,
+    });
+    context.addAction({ kind: "install-snapshot", message: request, entries });
+};
+
 const onSnapshotRequest = (context: StepContext, from: string, request: SnapshotRequest): void => {
-    const { index, membership, round, snapshotTerm } = request;
+    const { index, round, snapshotTerm } = request;
     if (request.term < context.state.term) {
         respond(context, from, false, 0, round);
         return;
     }
     followLeader(context, from);
+    if (request.replacesState && index >= context.state.commitIndex) {
+        installSnapshot(context, request);
+        respond(context, from, true, index, round);
+        return;
+    }
     // A log that agrees with the snapshot at its index holds all of it, and may hold entries after it that this replica
     // has acknowledged.
     if (logOperations.termAt(context.state.log, index) === snapshotTerm) {
@@ -83,11 +102,16 @@
         respond(context, from, true, index, round);
         return;
     }
-    const log = { snapshotIndex: index, snapshotTerm, snapshotMembership: membership, entries: [] };
-    context.update({ log, commitIndex: index, durableIndex: index });
-    context.addAction({ kind: "install-snapshot", message: request });
+    installSnapshot(context, request);
     respond(context, from, true, index, round);
 };
 
+const onStateDiffers = (context: StepContext): void => {
+    const { leaderId, role, term } = context.state;
+    if (role === Role.Follower && leaderId !== undefined) {
+        context.addAction({ kind: "send", to: leaderId, message: { kind: "state-request", term } });
+    }
+};
+
 /** Handlers of the leader's requests. */
-export const followerHandlers = { onAppendRequest, onSnapshotRequest } as const;
+export const followerHandlers = { onAppendRequest, onSnapshotRequest, onStateDiffers } as const;
--- a/src/consensus/leaderHandlers.ts
+++ b/src/consensus/leaderHandlers.ts
@@ -70,6 +70,13 @@
     stepDownIfRemoved(context);
 };
 
+const onStateRequest = (context: StepContext, from: string, requestTerm: number): void => {
+    const { peers, role, term } = context.state;
+    if (role === Role.Leader && requestTerm === term && peers.has(from)) {
+        replication.replaceState(context, from);
+    }
+};
+
 const onPropose = (context: StepContext, requestId: string, command: unknown): void => {
     const { log, role, term } = context.state;
     if (role !== Role.Leader) {
@@ -184,6 +191,7 @@
 /** Handlers of responses, timers and the requests of this process. Requests are refused unless this replica leads. */
 export const leaderHandlers = {
     onAppendResponse,
+    onStateRequest,
     onPropose,
     onChangeMembership,
     onRead,
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -15,9 +15,9 @@
     context.update({ peers });
 };
 
-const sendSnapshot = (context: StepContext, to: string): void => {
-    const { log, round, term } = context.state;
-    const message: ConsensusMessage = {
+const snapshotRequest = ({ state }: StepContext): ConsensusMessage & { readonly kind: "snapshot-request"; } => {
+    const { log, round, term } = state;
+    return {
         kind: "snapshot-request",
         term,
         index: log.snapshotIndex,
@@ -25,7 +25,16 @@
         membership: log.snapshotMembership,
         round,
     };
-    context.addAction({ kind: "send", to, message });
+};
+
+/** Sends the state to a peer whose own state differs at the same entry. Its log is not behind. */
+const replaceState = (context: StepContext, to: string): void => {
+    context.addAction({ kind: "send", to, message: { ...snapshotRequest(context), replacesState: true } });
+};
+
+const sendSnapshot = (context: StepContext, to: string): void => {
+    const { log } = context.state;
+    context.addAction({ kind: "send", to, message: snapshotRequest(context) });
     setProgress(context, to, { nextIndex: log.snapshotIndex + 1, snapshotPending: true });
 };
 
@@ -112,4 +121,11 @@
 };
 
 /** Replicates the log to the peers and commits the entries that a quorum has stored. */
-export const replication = { appendAsLeader, advanceCommit, sendEntries, sendToAll, setProgress } as const;
+export const replication = {
+    appendAsLeader,
+    advanceCommit,
+    replaceState,
+    sendEntries,
+    sendToAll,
+    setProgress,
+} as const;
--- a/src/consensus/step.ts
+++ b/src/consensus/step.ts
@@ -50,6 +50,9 @@
         case "snapshot-request":
             followerHandlers.onSnapshotRequest(context, from, message);
             return;
+        case "state-request":
+            leaderHandlers.onStateRequest(context, from, message.term);
+            return;
     }
 };
 
@@ -88,6 +91,9 @@
         case "receive":
             receive(context, input.from, input.message);
             return;
+        case "state-differs":
+            followerHandlers.onStateDiffers(context);
+            return;
         case "propose":
             leaderHandlers.onPropose(context, input.requestId, input.command);
             return;
--- a/src/deployment/ConfigurationSubscriber.ts
+++ b/src/deployment/ConfigurationSubscriber.ts
@@ -30,6 +30,8 @@
     /** Called when the link to a control replica opens, and when the replica says that it leads. */
     readonly onControl?: (address: string) => void;
     readonly onDepartures?: (message: ControlDepartureMessage) => void;
+    /** Called when what a control replica sent can't be read or does not match its digest. */
+    readonly onRejected?: () => void;
 };
 
 /** The connection to one control replica. */
@@ -52,6 +54,9 @@
  */
 const FIRST_FETCH_TIMEOUT_MS = 500;
 
+/** A replica whose configuration was rejected twice is asked again this much later: it may have to recover. */
+const REJECTED_FETCH_DELAY_MS = 300;
+
 /**
  * How long a replica of this node's zone may announce a version later than one of another zone. Replicas learn of a
  * commit within a heartbeat of the leader, 100 ms.
@@ -76,6 +81,8 @@
     private zoneAddresses: ReadonlySet<string> = new Set();
     /** True after a delta could not be applied. */
     private needsFullConfiguration = false;
+    /** The replicas whose last answers brought no newer configuration. */
+    private readonly rejectedSources = new Set<string>();
 
     public constructor(private readonly options: SubscriberOptions) {
         this.resources.add({ dispose: () => clearTimeout(this.fetchTimer) });
@@ -233,6 +240,7 @@
         const heldVersion = this.heldConfiguration?.version ?? 0;
         if (!delta) {
             this.options.log.warn("configuration-rejected", { control: address, reason: "unreadable" });
+            this.options.onRejected?.();
         }
         else if (delta.version > heldVersion) {
             this.applyDelta(address, delta);
@@ -241,9 +249,21 @@
         if (!isApplied) {
             this.countDelay([address]);
         }
-        if (address === this.fetchAddress) {
-            this.endFetch(isApplied);
+        if (address !== this.fetchAddress) {
+            return;
+        }
+        const isRejectedAgain = (!delta || this.needsFullConfiguration) && this.rejectedSources.has(address);
+        if (isApplied) {
+            this.rejectedSources.clear();
+        }
+        else {
+            this.rejectedSources.add(address);
+        }
+        if (isRejectedAgain) {
+            this.startTimer(REJECTED_FETCH_DELAY_MS, () => this.endFetch(false));
+            return;
         }
+        this.endFetch(isApplied);
     }
 
     private applyDelta(address: string, delta: Parameters<typeof configurationDeltas.patch>[1]): void {
@@ -252,6 +272,7 @@
         if (!next) {
             const { fromVersion, version } = delta;
             this.options.log.warn("configuration-rejected", { control: address, fromVersion, version });
+            this.options.onRejected?.();
             return;
         }
         const previousVersion = this.heldConfiguration?.version ?? 0;
--- a/src/deployment/ControlMetrics.ts
+++ b/src/deployment/ControlMetrics.ts
@@ -11,6 +11,7 @@
     private readonly operatorRequestDuration: Histogram;
     private readonly diskFailures: Counter;
     private readonly leaseRenewals: Counter;
+    private readonly stateReplacements: Counter;
 
     /**
      * @param read returns undefined while the replica restarts
@@ -36,6 +37,11 @@
             help: "Times that the disk refused a write and the replica was started anew",
             registers,
         });
+        this.stateReplacements = new Counter({
+            name: "filbertdeal_control_state_replacements_total",
+            help: "Times that the state of this replica differed from the leader's and was asked for again",
+            registers,
+        });
         this.leaseRenewals = new Counter({
             name: "filbertdeal_control_lease_renewals_total",
             help: "Renewals of nodes' leases for requests with keys, by outcome",
@@ -94,6 +100,10 @@
         this.leaseRenewals.inc({ outcome }, renewals);
     }
 
+    public countStateReplacement(): void {
+        this.stateReplacements.inc();
+    }
+
     public countDiskFailure(): void {
         this.diskFailures.inc();
     }
--- a/src/deployment/DeploymentStateMachine.ts
+++ b/src/deployment/DeploymentStateMachine.ts
@@ -1,4 +1,7 @@
+import { configurationDeltas } from "../configuration/configurationDeltas";
 import { StateMachine } from "../consensus/StateMachine";
+import { digestOf } from "../core/digestOf";
+import { memoizeLatest } from "../core/memoizeLatest";
 import { StoredCrashes } from "../crashes/StoredCrashes";
 import { StoredDeparture } from "../departures/StoredDeparture";
 import { applyDeploymentCommand } from "./applyDeploymentCommand";
@@ -7,6 +10,13 @@
 import { DeploymentState } from "./DeploymentState";
 import { emptyDeployment } from "./emptyDeployment";
 
+/** Increases when the digest covers other fields. */
+const DIGEST_FORMAT = 1;
+
+const configurationDigest = memoizeLatest((configuration: DeploymentState["configuration"]) =>
+    configuration && configurationDeltas.digest(configuration)
+);
+
 /** The stored form of a `DeploymentState`. */
 type Snapshot = {
     readonly revision: number;
@@ -44,6 +54,21 @@
         return answer;
     }
 
+    public override digest(): string {
+        const { acceptedDigests, configuration, crashRecords, departures, evacuatedZones, moves, revision } =
+            this.current;
+        const digest = digestOf({
+            revision,
+            configuration: configurationDigest(configuration),
+            accepted: acceptedDigests.size,
+            moves: [...moves.values()],
+            evacuatedZones: [...evacuatedZones],
+            crashRecords: [...crashRecords.values()],
+            departures: [...departures],
+        });
+        return `${DIGEST_FORMAT}:${digest}`;
+    }
+
     public override takeSnapshot(): unknown {
         const { acceptedDigests, configuration, crashRecords, departures, evacuatedZones, moves, revision } =
             this.current;
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -45,6 +45,7 @@
     private readonly limitRefusals: Counter;
     private readonly healthChecks: Counter;
     private readonly invalidResponses: Counter;
+    private readonly rejectedConfigurations: Counter;
     private readonly quotaDecisions: Counter;
     private readonly zoneChoices: Counter;
     private readonly departures: Counter;
@@ -94,6 +95,11 @@
             labelNames: ["outcome"],
             registers,
         });
+        this.rejectedConfigurations = new Counter({
+            name: "filbertdeal_configuration_rejections_total",
+            help: "Configurations from control replicas that could not be read or did not match their digest",
+            registers,
+        });
         this.invalidResponses = new Counter({
             name: "filbertdeal_invalid_responses_total",
             help: "Connections to the backend server that were destroyed because of what it sent, by reason",
@@ -204,6 +210,10 @@
         this.invalidResponses.inc({ reason });
     }
 
+    public countRejectedConfiguration(): void {
+        this.rejectedConfigurations.inc();
+    }
+
     public countZoneChoice(service: string, zone: string, reason: ZoneReason): void {
         this.zoneChoices.inc({ service, zone, reason });
     }
--- a/src/deployment/__tests__/ConfigurationSubscriber.test.ts
+++ b/src/deployment/__tests__/ConfigurationSubscriber.test.ts
@@ -97,6 +97,24 @@
         expect(inForce).toEqual([5, 6]);
     });
 
+    // Guards against review/6: nodes that rejected a configuration fetched it again without a pause.
+    test("fetches a configuration that does not match its digest again, but not without a pause", () => {
+        const { announce, answer, fetches, inForce, receive } = create([]);
+        announce(second, 5);
+        const delta = { ...configurationDeltas.between(undefined, versionOf(5)), digest: "0" };
+        for (let elapsedMs = 0, answered = 0; elapsedMs < APPLY_MS; elapsedMs += 10) {
+            if (fetches().length > answered) {
+                answered = fetches().length;
+                receive(second, { kind: "delta", delta });
+            }
+            jest.advanceTimersByTime(10);
+        }
+        expect(fetches().length).toBeGreaterThan(3);
+        expect(fetches().length).toBeLessThan(10);
+        answer(second, 5);
+        expect(inForce).toEqual([5]);
+    });
+
     test("has a version within its bound if the replica of its zone and another one don't answer", () => {
         const { announce, answer, fetches, inForce } = create([own]);
         addresses.forEach((address) => announce(address, 5));
--- a/src/deployment/__tests__/storedCommands.test.ts
+++ b/src/deployment/__tests__/storedCommands.test.ts
@@ -101,7 +101,7 @@
 
 const run = (applied: readonly unknown[], machine = createMachine()) => ({
     answers: applied.map((command) => machine.apply(command)),
-    digest: digestOf(machine.takeSnapshot()),
+    digest: digestOf([machine.takeSnapshot(), machine.digest()]),
     machine,
 });
 
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -155,6 +155,11 @@
             snapshotEveryEntries: SNAPSHOT_INTERVAL_ENTRIES,
             onChange,
             onQuorumLost: (responded) => log.warn("quorum-lost", { responded: responded.join(",") }),
+            onStateDiffers: (appliedIndex) => {
+                metrics.countStateReplacement();
+                const { configuration, revision } = stateMachine.state;
+                log.error("state-differs", { appliedIndex, revision, configurationVersion: configuration?.version });
+            },
             onFailure: (error) => {
                 log.error("disk-failed", { reason: error.message });
                 onDiskFailure(error);
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -271,6 +271,7 @@
             onTokens: (answer, address) => quotaTask.receive(answer, address),
             onControl: (address) => departures.onControl(address),
             onDepartures: (message) => departures.receiveFromControl(message),
+            onRejected: () => metrics.countRejectedConfiguration(),
             onRollouts: (next) => {
                 directory.updateRollouts(next);
                 for (const { reason, service, share, state, targetVersion } of next.values()) {
