Pass the end of a stopping node on to the queues that hold its requests

Cause: only the stopping node knew when it ends. The queues that hold requests, its own and those of other hosts, decided by the caller's deadline alone.

Evidence: the host of the backend server logs each of the requests as cancelled 25 ms after the exit, with 82 waiting.

Change: a stopping node states the time that it has left with each request, and tells the nodes at which requests wait. The queue refuses, as not run, what can't be answered in it; the node that holds a request decides, so no withdrawal can come too late. The same holds for requests that other nodes send to the stopping one.

--- a/src/calls/BackendQueue.ts
+++ b/src/calls/BackendQueue.ts
@@ -11,6 +11,8 @@
     readonly expire: () => void;
     /** Removes the request from the queue and ends its wait with this result. */
     readonly refuse: (result: CallResult) => void;
+    /** Sets the time by which it must be answered. */
+    readonly limitAnswer: (answerByMs: number) => void;
     readonly requestId: string;
 };
 
@@ -28,6 +30,7 @@
 
 const cancelled: CallResult = { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
 const expired: CallResult = { kind: "not-run", reason: "expired", retryAfterMs: 0 };
+const stopping: CallResult = { kind: "not-run", reason: "stopping", retryAfterMs: 0 };
 
 /** The slots of the backend server of this host, and the requests that wait for them. */
 export class BackendQueue {
@@ -62,7 +65,7 @@
     /** Returns why a request would be refused now, or undefined if it would not. Nothing is reserved for it. */
     public refusalOf(call: OfferedCall): CallResult | undefined {
         const admission = slotQueue.offer(this.queue, call, this.nowMs());
-        return admission.kind === "refuse" ? this.noRoom(admission.retryAfterMs) : undefined;
+        return admission.kind === "refuse" ? this.refusalFor(admission) : undefined;
     }
 
     /**
@@ -77,19 +80,30 @@
         this.queue = admission.state;
         let outcome: ReturnType<typeof this.enter>;
         if (admission.kind === "refuse") {
-            outcome = this.noRoom(admission.retryAfterMs);
+            outcome = this.refusalFor(admission);
         }
         else if (admission.kind === "wait") {
             this.scheduleNextStart();
-            // Gives up one service time before the deadline, so that the sending node can still refuse the request as
-            // not run.
-            const limitMs = call.deadlineMs - slotQueue.serviceMsOf(this.queue, call) - call.arrivedMs;
-            outcome = this.waitForSlot(call, signal, limitMs);
+            outcome = this.waitForSlot(call, signal);
         }
         this.options.onChange(true);
         return outcome;
     }
 
+    /** Sets the time by which a waiting request must be answered. It is refused at once if it can't be. */
+    public limitAnswer(key: number, answerByMs: number): void {
+        const call = this.waiting.get(key);
+        if (call) {
+            call.limitAnswer(answerByMs);
+            this.applyState(slotQueue.limitAnswer(this.queue, key, answerByMs));
+        }
+    }
+
+    /** The same for all waiting requests. */
+    public limitAnswers(answerByMs: number): void {
+        [...this.waiting.keys()].forEach((key) => this.limitAnswer(key, answerByMs));
+    }
+
     /** Refuses all waiting requests, or those with the given fingerprint. Returns how many there were. */
     public refuseWaiting(resultOf: (requestId: string) => CallResult, fingerprint?: string): number {
         const refused = [...this.waiting.values()].filter((call) =>
@@ -108,16 +122,25 @@
         return this.options.clock.monotonicMs();
     }
 
-    private noRoom(retryAfterMs: number): CallResult {
-        return { kind: "not-run", reason: "no-room", retryAfterMs };
+    private refusalFor(
+        { isForStop, retryAfterMs }: ReturnType<typeof slotQueue.offer> & { readonly kind: "refuse"; },
+    ): CallResult {
+        return isForStop ? stopping : { kind: "not-run", reason: "no-room", retryAfterMs };
     }
 
-    private waitForSlot(
-        { fingerprint, key, requestId }: OfferedCall,
-        signal: AbortSignal,
-        limitMs: number,
-    ): Promise<CallResult | undefined> {
+    private waitForSlot(call: OfferedCall, signal: AbortSignal): Promise<CallResult | undefined> {
+        const { deadlineMs, fingerprint, key, requestId } = call;
         return new Promise((resolve) => {
+            let answerByMs = call.answerByMs ?? Number.POSITIVE_INFINITY;
+            let timer: NodeJS.Timeout | undefined;
+            const giveUp = (): CallResult => (answerByMs < deadlineMs ? stopping : expired);
+            // Gives up one service time before the deadline, so that the sending node can still refuse the request as
+            // not run.
+            const startTimer = (): void => {
+                clearTimeout(timer);
+                const limitMs = Math.min(deadlineMs, answerByMs) - slotQueue.serviceMsOf(this.queue, call);
+                timer = setTimeout(() => withdraw(giveUp()), limitMs - this.nowMs());
+            };
             const finish = (refusal: CallResult | undefined): void => {
                 clearTimeout(timer);
                 this.waiting.delete(key);
@@ -129,14 +152,18 @@
                 finish(refusal);
             };
             const onAbort = (): void => withdraw(cancelled);
-            const timer = setTimeout(() => withdraw(expired), limitMs);
             this.waiting.set(key, {
                 requestId,
                 fingerprint,
                 start: () => finish(undefined),
-                expire: () => finish(expired),
+                expire: () => finish(giveUp()),
                 refuse: withdraw,
+                limitAnswer: (limitMs) => {
+                    answerByMs = Math.min(answerByMs, limitMs);
+                    startTimer();
+                },
             });
+            startTimer();
             signal.addEventListener("abort", onAbort, { once: true });
         });
     }
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -74,10 +74,10 @@
 };
 
 /** Reasons for which an attempt fails without costing much time or any slot. */
-const unavailableReasons: ReadonlySet<string> = new Set(["link-down", "evacuated"]);
+const unavailableReasons: ReadonlySet<string> = new Set(["link-down", "evacuated", "stopping"]);
 
 /** Reasons for which a trial has not reached the backend server chosen for it, so that the next one takes its place. */
-const absentReasons: ReadonlySet<string> = new Set(["unreachable", "link-down", "not-here", "evacuated"]);
+const absentReasons: ReadonlySet<string> = new Set(["unreachable", "link-down", "not-here", "evacuated", "stopping"]);
 
 /** How many attempts of one request may fail for these reasons; after one more it is not retried. */
 const MAXIMUM_UNAVAILABLE = 6;
@@ -287,10 +287,11 @@
     }
 
     private mayRetry(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
-        const { allowance, clock } = this.options;
+        const { allowance, calls, clock } = this.options;
         const { route, signal } = call;
         const nowMs = clock.monotonicMs();
-        if (signal.aborted || call.deadlineMs - nowMs < MINIMUM_ATTEMPT_MS) {
+        const remainingMs = Math.min(call.deadlineMs - nowMs, calls.answerWithinMs ?? Number.POSITIVE_INFINITY);
+        if (signal.aborted || remainingMs < MINIMUM_ATTEMPT_MS) {
             return false;
         }
         if (result.kind === "answered" && !isServerError(result.answer.status)) {
--- a/src/calls/CallMessage.ts
+++ b/src/calls/CallMessage.ts
@@ -19,6 +19,8 @@
     | { readonly kind: "body"; readonly number: number; readonly chunk: Uint8Array; }
     /** The caller has disconnected, the time is over, or another attempt has succeeded. */
     | { readonly kind: "cancel"; readonly number: number; }
+    /** The sending node ends in this time: a waiting request that can't be answered in it must not start. */
+    | { readonly kind: "answer-within"; readonly number: number; readonly withinMs: number; }
     /** Checks that the link is alive when no message has arrived for a while; the other side replies with "pong". */
     | { readonly kind: "ping"; }
     | { readonly kind: "pong"; }
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -1,5 +1,6 @@
 import { MeshService } from "../configuration/MeshService";
 import { Clock } from "../core/Clock";
+import { AnswerDeadline } from "./AnswerDeadline";
 import { BackendClient } from "./BackendClient";
 import { BackendLoad } from "./BackendLoad";
 import { BackendNotice } from "./BackendNotice";
@@ -56,6 +57,7 @@
     readonly request: CallRequest;
     readonly arrivedMs: number;
     readonly signal: AbortSignal;
+    readonly answerDeadline: AnswerDeadline;
 };
 
 /** Reasons for which the limit on the rate of requests may be the cause. */
@@ -79,6 +81,8 @@
     private failureShare = 0;
     private lastKey = 0;
     private active = 0;
+    /** When this node ends, if it stops. */
+    private answerByMs: number | undefined;
 
     public constructor(private readonly options: ReceiverOptions) {
         this.statements = new BackendStatements(options.drainGraceMs);
@@ -157,9 +161,32 @@
         this.queue.refuseWaiting((requestId) => crashRefusal(requestId, retryAfterMs), fingerprint);
     }
 
+    /**
+     * From now on, requests start only if they can be answered within this time, in which this node ends. Those that wait
+     * and can't be are refused at once, so that they can be tried elsewhere.
+     */
+    public limitAnswers(withinMs: number): void {
+        this.answerByMs = this.nowMs() + withinMs;
+        this.queue.limitAnswers(this.answerByMs);
+    }
+
+    /** Creates the deadline of a request that another node sent, which applies from its arrival on. */
+    public createAnswerDeadline({ answerWithinMs }: CallRequest): AnswerDeadline {
+        const deadline = new AnswerDeadline(this.options.clock);
+        if (answerWithinMs !== undefined) {
+            deadline.limitTo(answerWithinMs);
+        }
+        return deadline;
+    }
+
     /** Runs a request here, or refuses it; a refused request never runs. */
-    public async receive(from: string, request: CallRequest, signal: AbortSignal): Promise<CallResult> {
-        const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal };
+    public async receive(
+        from: string,
+        request: CallRequest,
+        signal: AbortSignal,
+        answerDeadline = this.createAnswerDeadline(request),
+    ): Promise<CallResult> {
+        const call: ReceivedCall = { from, request, arrivedMs: this.nowMs(), signal, answerDeadline };
         this.active += 1;
         this.otherZones.record(from, request, call.arrivedMs);
         this.callers = callerServices.record(this.callers, request.route, request.callerService);
@@ -203,7 +230,11 @@
     }
 
     /** Returns why a request would be refused now, or undefined if it would not. Nothing is reserved for it. */
-    public refusalOf(from: string, request: CallRequest): CallResult | undefined {
+    public refusalOf(
+        from: string,
+        request: CallRequest,
+        answerDeadline = this.createAnswerDeadline(request),
+    ): CallResult | undefined {
         const nowMs = this.nowMs();
         if (!this.statements.accepts(request, nowMs)) {
             return this.notAccepted(request);
@@ -211,7 +242,14 @@
         if (this.otherZones.mustRefuse(request, this.queue.state, nowMs)) {
             return noRoom(this.queue.state.serviceMs);
         }
-        return this.options.crashGuard.refusalOf(request) ?? this.queue.refusalOf(this.toWaiting(from, request, nowMs));
+        return this.options.crashGuard.refusalOf(request)
+            ?? this.queue.refusalOf(this.toWaiting(from, request, nowMs, this.answerByMsOf(answerDeadline)));
+    }
+
+    /** Time left until the response of a request is of use to anybody. */
+    public remainingMs({ remainingMs }: CallRequest, answerDeadline: AnswerDeadline): number {
+        const answerByMs = this.answerByMsOf(answerDeadline);
+        return answerByMs === undefined ? remainingMs : Math.min(remainingMs, answerByMs - this.nowMs());
     }
 
     /** Expected time that a request takes once it has a slot. */
@@ -225,7 +263,7 @@
     }
 
     private async admit(call: ReceivedCall): Promise<CallResult> {
-        const { arrivedMs, from, request, signal } = call;
+        const { answerDeadline, arrivedMs, from, request, signal } = call;
         if (!this.statements.accepts(request, arrivedMs)) {
             return this.notAccepted(request);
         }
@@ -237,14 +275,20 @@
             return crashRefused;
         }
         this.limits.learnFrom(request);
-        const waiting = this.toWaiting(from, request, arrivedMs);
+        const waiting = this.toWaiting(from, request, arrivedMs, this.answerByMsOf(answerDeadline));
+        answerDeadline.onLimited((atMs) => this.queue.limitAnswer(waiting.key, atMs));
         const entered = this.queue.enter(waiting, signal);
         // A request that need not wait is sent at once, before other requests or announcements are handled.
         const refusal = entered instanceof Promise ? await entered : entered;
         return refusal ?? this.run(call, waiting.deadlineMs);
     }
 
-    private toWaiting(from: string, request: CallRequest, arrivedMs: number) {
+    /** The earlier one of the times at which this node and the sender end. */
+    private answerByMsOf({ atMs }: AnswerDeadline): number | undefined {
+        return this.answerByMs === undefined ? atMs : Math.min(this.answerByMs, atMs ?? this.answerByMs);
+    }
+
+    private toWaiting(from: string, request: CallRequest, arrivedMs: number, answerByMs: number | undefined) {
         const { fingerprint, isLastAttempt, remainingMs, requestId, route, targetRemainingMs } = request;
         const priority = this.otherZones.priorityOf(request);
         const isNested = callerServices.isNested(this.callers, route) === true;
@@ -262,6 +306,7 @@
             arrivedMs,
             targetAtMs,
             deadlineMs: arrivedMs + remainingMs,
+            ...(answerByMs !== undefined && { answerByMs }),
         };
     }
 
--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -29,6 +29,8 @@
 export class CallTask implements Disposable {
     private readonly links: NodeLinks;
     private readonly sent: SentRequests;
+    /** When this process ends, by `performance.now()`, if it stops. */
+    private answerByMs: number | undefined;
 
     public constructor(private readonly options: CallTaskOptions) {
         const received = new ReceivedRequests(options);
@@ -46,6 +48,26 @@
         this.sent = new SentRequests((nodeLink) => this.links.disposeRetired(nodeLink));
     }
 
+    /** Time left until this process ends; undefined unless it stops. */
+    public get answerWithinMs(): number | undefined {
+        return this.answerByMs === undefined ? undefined : Math.max(0, this.answerByMs - performance.now());
+    }
+
+    /** Requests at other nodes that have no result yet. */
+    public get outstandingRequests(): number {
+        return this.links.outstandingRequests;
+    }
+
+    /**
+     * From now on, no request starts here or at other nodes unless it can be answered within this time, in which this process
+     * ends. The nodes at which requests wait decide that: what they refuse has not run.
+     */
+    public limitAnswers(withinMs: number): void {
+        this.answerByMs = performance.now() + withinMs;
+        this.options.receiver.limitAnswers(withinMs);
+        this.links.limitAnswers(withinMs);
+    }
+
     /** Makes one attempt at a request at the given node. It never retries. */
     public async send(
         nodeId: string,
@@ -73,7 +95,21 @@
             return { kind: "not-run", reason: "expired", retryAfterMs: 0 };
         }
         const targetRemainingMs = request.targetRemainingMs - waitedMs;
-        return this.sent.exchange(nodeLink, { ...request, remainingMs, targetRemainingMs }, idempotent, signal);
+        const { answerWithinMs } = this;
+        if (answerWithinMs === 0) {
+            return { kind: "not-run", reason: "stopping", retryAfterMs: 0 };
+        }
+        return this.sent.exchange(
+            nodeLink,
+            {
+                ...request,
+                ...(answerWithinMs !== undefined && { answerWithinMs }),
+                remainingMs,
+                targetRemainingMs,
+            },
+            idempotent,
+            signal,
+        );
     }
 
     /** See `NodeLinks.updateMembers`. */
--- a/src/calls/NodeLinks.ts
+++ b/src/calls/NodeLinks.ts
@@ -90,6 +90,18 @@
         return replacement && await replacement.link.waitUntilOpen(OPEN_TIMEOUT_MS) ? replacement : undefined;
     }
 
+    /** Requests that wait for results. */
+    public get outstandingRequests(): number {
+        return this.allLinks.reduce((sum, { outstanding }) => sum + outstanding.size, 0);
+    }
+
+    /** Tells the nodes at which requests wait that this one ends in this time. */
+    public limitAnswers(withinMs: number): void {
+        for (const { outstanding } of this.allLinks) {
+            [...outstanding.values()].forEach((request) => request.limitAnswer(withinMs));
+        }
+    }
+
     /** Closes a link that has stopped responding once no request waits on it. */
     public disposeRetired(nodeLink: NodeLink): void {
         if (this.retired.has(nodeLink) && nodeLink.outstanding.size === 0) {
@@ -119,6 +131,10 @@
         return this.resources.dispose();
     }
 
+    private get allLinks(): readonly NodeLink[] {
+        return [...this.links.values(), ...this.retired];
+    }
+
     private confirmAlive({ livenessWaiters, lastReceivedAtMs, link }: NodeLink): Promise<boolean> {
         if (performance.now() - lastReceivedAtMs < ASSUMED_ALIVE_MS) {
             return Promise.resolve(true);
--- a/src/calls/OutstandingRequest.ts
+++ b/src/calls/OutstandingRequest.ts
@@ -7,6 +7,8 @@
     readonly idempotent: boolean;
     readonly route: string;
     readonly sentAtMs: number;
+    /** Tells the other node that this one ends in that time. */
+    readonly limitAnswer: (withinMs: number) => void;
     /** Undefined if the body was sent with the request, which was then not offered. */
     readonly bodySender: BodySender | undefined;
 };
--- a/src/calls/ReceivedRequests.ts
+++ b/src/calls/ReceivedRequests.ts
@@ -1,3 +1,4 @@
+import { AnswerDeadline } from "./AnswerDeadline";
 import { BodyReceiver } from "./BodyReceiver";
 import { CallMessage } from "./CallMessage";
 import { CallReceiver } from "./CallReceiver";
@@ -12,6 +13,7 @@
 /** A request from another node. */
 type RunningRequest = {
     readonly controller: AbortController;
+    readonly answerDeadline: AnswerDeadline;
     /** Takes the chunks of a large body while it is being received. */
     addChunk: ((chunk: Uint8Array) => void) | undefined;
 };
@@ -39,6 +41,10 @@
             running.get(message.number)?.controller.abort();
             return;
         }
+        if (message.kind === "answer-within") {
+            running.get(message.number)?.answerDeadline.limitTo(message.withinMs);
+            return;
+        }
         if (message.kind === "body") {
             running.get(message.number)?.addChunk?.(message.chunk);
             return;
@@ -62,11 +68,12 @@
     ): Promise<void> {
         const { number, order: request } = message;
         const controller = new AbortController();
-        const runningRequest: RunningRequest = { controller, addChunk: undefined };
-        running.set(number, runningRequest);
         const { receiver } = this.options;
+        const answerDeadline = receiver.createAnswerDeadline(request);
+        const runningRequest: RunningRequest = { controller, answerDeadline, addChunk: undefined };
+        running.set(number, runningRequest);
         const result = message.bodyBytes === undefined
-            ? await receiver.receive(from, request, controller.signal)
+            ? await receiver.receive(from, request, controller.signal, answerDeadline)
             : await this.receiveWithBody(from, runningRequest, send, message, message.bodyBytes);
         running.delete(number);
         if (!controller.signal.aborted) {
@@ -83,14 +90,14 @@
         bodyBytes: number,
     ): Promise<CallResult> {
         const { bodyReceiver, receiver } = this.options;
-        const { signal } = runningRequest.controller;
-        const refusal = receiver.refusalOf(from, request);
+        const { answerDeadline, controller: { signal } } = runningRequest;
+        const refusal = receiver.refusalOf(from, request, answerDeadline);
         if (refusal) {
             return refusal;
         }
         const startedAtMs = performance.now();
         const body = await bodyReceiver.receive({
-            request,
+            request: { ...request, remainingMs: receiver.remainingMs(request, answerDeadline) },
             expectedBytes: bodyBytes,
             runMs: receiver.expectedMs(request),
             sendCredit: (bytes) => send({ kind: "credit", number, bytes }),
@@ -113,6 +120,7 @@
                 targetRemainingMs: request.targetRemainingMs - waitedMs,
             },
             signal,
+            answerDeadline,
         );
     }
 }
--- a/src/calls/SentRequests.ts
+++ b/src/calls/SentRequests.ts
@@ -45,6 +45,7 @@
                 this.onSettled(nodeLink);
                 clearTimeout(timer);
                 clearTimeout(creditTimer);
+                clearTimeout(answerTimer);
                 signal.removeEventListener("abort", onAbort);
                 resolve(result);
             };
@@ -63,6 +64,15 @@
                     settle(linkResults.down);
                 }
             };
+            let answerTimer: NodeJS.Timeout | undefined;
+            const withdrawUnsentAfter = (withinMs: number): void => {
+                clearTimeout(answerTimer);
+                answerTimer = setTimeout(withdrawUnsent, withinMs);
+            };
+            const limitAnswer = (withinMs: number): void => {
+                withdrawUnsentAfter(withinMs);
+                link.send({ kind: "answer-within", number, withinMs } satisfies CallMessage);
+            };
             const onAbort = (): void => cancel("cancelled");
             const timer = setTimeout(() => cancel("timed-out"), request.remainingMs);
             signal.addEventListener("abort", onAbort, { once: true });
@@ -75,7 +85,10 @@
             const creditTimer = bodySender && request.body.length <= transferQueue.chunkBytes
                 ? setTimeout(withdrawUnsent, Math.min(CREDIT_TIMEOUT_MS, request.remainingMs * CREDIT_TIMEOUT_SHARE))
                 : undefined;
-            outstanding.set(number, { settle, idempotent, route: request.route, sentAtMs, bodySender });
+            outstanding.set(number, { settle, idempotent, route: request.route, sentAtMs, limitAnswer, bodySender });
+            if (request.answerWithinMs !== undefined) {
+                withdrawUnsentAfter(request.answerWithinMs);
+            }
             const message: CallMessage = bodySender
                 ? { kind: "order", number, order: { ...request, body: noBody }, bodyBytes: request.body.length }
                 : { kind: "order", number, order: request };
--- a/src/calls/__tests__/CallReceiver.test.ts
+++ b/src/calls/__tests__/CallReceiver.test.ts
@@ -70,6 +70,62 @@
         expect(sent).toEqual(["r1"]);
     });
 
+    describe("while a node on the way of a request stops", () => {
+        /** Lets the receiver learn that requests take 100 ms, with one that runs then. */
+        const warmUp = async () => {
+            jest.useFakeTimers();
+            for (let count = 0; count < 6; count += 1) {
+                const learning = receive(`warm-${count}`, { remainingMs: 60_000 });
+                jest.advanceTimersByTime(100);
+                finish[count](answered);
+                await learning;
+            }
+            const running = receive("running", { remainingMs: 60_000 });
+            return { running, end: () => finish[6](answered) };
+        };
+
+        // Guards against review/8: requests waited for a slot until the node that had sent them was gone.
+        test("refuses at once what can't be answered in time, here or at the sending node", async () => {
+            const { end, running } = await warmUp();
+            expect(await receive("late", { remainingMs: 60_000, answerWithinMs: 150 }))
+                .toMatchObject({ kind: "not-run", reason: "stopping" });
+            const served = receive("served", { remainingMs: 60_000, answerWithinMs: 350 });
+            end();
+            await running;
+            expect(sent).toContain("served");
+            expect(sent).not.toContain("late");
+            finish[7](answered);
+            expect(await served).toBe(answered);
+        });
+
+        test("refuses a waiting request once it is too late, and lets a running one finish", async () => {
+            const { end, running } = await warmUp();
+            const waiting = receive("waiting", { remainingMs: 60_000 });
+            receiver.limitAnswers(250);
+            jest.advanceTimersByTime(200);
+            expect(await waiting).toMatchObject({ kind: "not-run", reason: "stopping" });
+            end();
+            expect(await running).toBe(answered);
+            expect(sent).not.toContain("waiting");
+        });
+
+        test("runs a request of which nothing is known until shortly before the end", async () => {
+            receiver.limitAnswers(250);
+            const unknown = receive("unknown", { remainingMs: 60_000 });
+            expect(sent).toEqual(["unknown"]);
+            finish[0](answered);
+            expect(await unknown).toBe(answered);
+        });
+
+        test("refuses a request that would take too long although a slot is free", async () => {
+            const { end, running } = await warmUp();
+            end();
+            await running;
+            receiver.limitAnswers(80);
+            expect(await receive("long", { remainingMs: 60_000 })).toMatchObject({ reason: "stopping" });
+        });
+    });
+
     test("reports to each node the total load and that node's share of it", () => {
         void receive("r1");
         expect(receiver.loadFor("node-1", "tiles")).toMatchObject({ total: 1, yours: 1 });
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from "../../core/SystemClock";
 import { FaultProxy } from "../../emulator/FaultProxy";
 import { PeerNetwork } from "../../transport/PeerNetwork";
+import { AnswerDeadline } from "../AnswerDeadline";
 import { BodyReceiver } from "../BodyReceiver";
 import { CallReceiver } from "../CallReceiver";
 import { CallRequest } from "../CallRequest";
@@ -28,6 +29,8 @@
     let run: (request: CallRequest, signal: AbortSignal) => Promise<CallResult>;
     /** Why the receiving node refuses a request before its body is sent. */
     let refusalOf: (request: CallRequest) => CallResult | undefined;
+    /** Called when the sending node says that it ends. */
+    let onLimited: () => void;
     let sender: CallTask;
     let proxy: FaultProxy;
     let address = "";
@@ -49,6 +52,13 @@
             receive: (_from: string, received: CallRequest, signal: AbortSignal) => run(received, signal),
             refusalOf: (_from: string, request: CallRequest) => refusalOf(request),
             expectedMs: () => 10,
+            remainingMs: ({ remainingMs }: CallRequest) => remainingMs,
+            createAnswerDeadline: () => {
+                const deadline = new AnswerDeadline(new SystemClock());
+                deadline.onLimited(() => onLimited());
+                return deadline;
+            },
+            limitAnswers: () => undefined,
             loadFor: () => undefined,
         };
         const task = new CallTask({
@@ -65,6 +75,7 @@
     beforeEach(async () => {
         disposables = [];
         refusalOf = () => undefined;
+        onLimited = () => undefined;
         const network = createNetwork("receiver");
         createTask("receiver", network);
         const listening = await network.listen({ host: "127.0.0.1", port: 0 });
@@ -97,6 +108,53 @@
         expect(await first).toMatchObject({ kind: "answered" });
     });
 
+    // Guards against review/8: the host at which a request waited did not know that the sending node ends.
+    test("tells the nodes at which requests wait that this one ends, and states it in later requests", async () => {
+        const arrived: CallRequest[] = [];
+        const refusals: (() => void)[] = [];
+        run = (request) => {
+            arrived.push(request);
+            return new Promise((resolve) =>
+                refusals.push(() => resolve({ kind: "not-run", reason: "stopping", retryAfterMs: 0 }))
+            );
+        };
+        onLimited = () => refusals.forEach((refuse) => refuse());
+        const waiting = send("r1", true);
+        while (arrived.length === 0) {
+            await pause(5);
+        }
+        sender.limitAnswers(1_000);
+        expect(await waiting).toMatchObject({ kind: "not-run", reason: "stopping" });
+        const later = send("r2", true);
+        while (arrived.length === 1) {
+            await pause(5);
+        }
+        expect(arrived[0].answerWithinMs).toBeUndefined();
+        expect(arrived[1].answerWithinMs).toBeGreaterThan(0);
+        expect(arrived[1].answerWithinMs).toBeLessThanOrEqual(1_000);
+        refusals.forEach((refuse) => refuse());
+        await later;
+    });
+
+    test("withdraws a request whose body the other node has not asked for when too little time is left", async () => {
+        const controller = new AbortController();
+        const request = sampleRequest("r1", {
+            method: "POST",
+            body: Buffer.alloc(30_000_000),
+            targetRemainingMs: 60_000,
+        });
+        const offered = sender.send(
+            "receiver",
+            address,
+            { ...request, remainingMs: 60_000 },
+            false,
+            controller.signal,
+        );
+        await pause(50);
+        sender.limitAnswers(1);
+        expect(await offered).toMatchObject({ kind: "not-run" });
+    });
+
     const upload = (requestId: string, body: Uint8Array) => {
         const request = sampleRequest(requestId, { method: "POST", body, targetRemainingMs: 5_000 });
         return sender.send("receiver", address, request, false, new AbortController().signal);
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -14,6 +14,8 @@
     /** Responses after this are late. */
     readonly targetAtMs: number;
     readonly deadlineMs: number;
+    /** After this a response reaches nobody, since a node on its way ends; undefined while none of them stops. */
+    readonly answerByMs?: number;
     /** True if no other backend server is asked for the response. */
     readonly isLastAttempt?: boolean;
     /** True if a backend server needs the response for a request that it runs, and no other one is asked for it. */
@@ -38,7 +40,13 @@
 type Admission =
     | { readonly kind: "start"; readonly state: SlotQueueState; }
     | { readonly kind: "wait"; readonly state: SlotQueueState; }
-    | { readonly kind: "refuse"; readonly state: SlotQueueState; readonly retryAfterMs: number; };
+    | {
+        readonly kind: "refuse";
+        readonly state: SlotQueueState;
+        readonly retryAfterMs: number;
+        /** True if the request could be served, were it not for the end of a node. */
+        readonly isForStop: boolean;
+    };
 
 /** Keys of the requests to start now, and of those to give up because they can't be served in time any more. */
 type Progress = {
@@ -143,6 +151,18 @@
     return nowMs + waitMs + serviceMsOf(state, call) <= call.deadlineMs;
 };
 
+/**
+ * True if the request can be answered before a node on its way ends. A route whose requests have not been seen yet is given
+ * the benefit of the doubt.
+ */
+const canBeAnswered = (state: SlotQueueState, call: WaitingCall, waitMs: number, nowMs: number): boolean => {
+    if (call.answerByMs === undefined) {
+        return true;
+    }
+    const isKnown = state.samples >= MINIMUM_SAMPLES || state.routeServiceMs.has(call.route);
+    return nowMs + waitMs + (isKnown ? serviceMsOf(state, call) : 0) <= call.answerByMs;
+};
+
 /** True if a request that will be late waits only briefly. */
 const isBrieflyLate = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number): boolean => {
     const totalWaitMs = nowMs - call.arrivedMs + expectedWaitMs(state, ahead, nowMs);
@@ -154,7 +174,8 @@
  * only briefly. While service times are unknown, only the deadline counts.
  */
 const mayWait = (state: SlotQueueState, call: WaitingCall, ahead: number, nowMs: number, startMs: number): boolean =>
-    canMeetDeadline(state, call, ahead, nowMs)
+    canBeAnswered(state, call, expectedWaitMs(state, ahead, nowMs), nowMs)
+    && canMeetDeadline(state, call, ahead, nowMs)
     && (state.samples < MINIMUM_SAMPLES
         || canBeOnTime(state, call, startMs)
         || call.isLastNested === true
@@ -198,16 +219,26 @@
  */
 const offer = (state: SlotQueueState, call: WaitingCall, nowMs: number): Admission => {
     if (state.waiting.length === 0 && mayStart(state, nowMs)) {
-        return { kind: "start", state: start(state, call, nowMs) };
+        return canBeAnswered(state, call, 0, nowMs)
+            ? { kind: "start", state: start(state, call, nowMs) }
+            : { kind: "refuse", state, retryAfterMs: MINIMUM_RETRY_AFTER_MS, isForStop: true };
     }
     const waiting = byUrgency(state, [...state.waiting, call], nowMs);
     const ahead = waiting.indexOf(call);
     const waitMs = expectedWaitMs(state, ahead, nowMs);
+    if (!canBeAnswered(state, call, waitMs, nowMs)) {
+        return { kind: "refuse", state, retryAfterMs: MINIMUM_RETRY_AFTER_MS, isForStop: true };
+    }
     if (!mayWait(state, call, ahead, nowMs, nowMs + waitMs)) {
         const earliestMs = Math.max(MINIMUM_RETRY_AFTER_MS, waitMs);
         const promise = startLimits.promise(state.limits, earliestMs, nowMs);
         const refused = recordRefusal(state, call, nowMs);
-        return { kind: "refuse", state: { ...refused, limits: promise.limits }, retryAfterMs: promise.retryAfterMs };
+        return {
+            kind: "refuse",
+            state: { ...refused, limits: promise.limits },
+            retryAfterMs: promise.retryAfterMs,
+            isForStop: false,
+        };
     }
     return { kind: "wait", state: { ...state, waiting } };
 };
@@ -256,6 +287,14 @@
     waiting: state.waiting.filter((call) => call.key !== key),
 });
 
+/** Sets the time by which a waiting request must be answered, unless it has an earlier one. */
+const limitAnswer = (state: SlotQueueState, key: number, answerByMs: number): SlotQueueState => ({
+    ...state,
+    waiting: state.waiting.map((call) =>
+        call.key === key ? { ...call, answerByMs: Math.min(answerByMs, call.answerByMs ?? answerByMs) } : call
+    ),
+});
+
 const resize = (state: SlotQueueState, slots: number): SlotQueueState => ({ ...state, slots });
 
 /** Keeps a slot for a health check, or gives it back. A request that holds it finishes first. */
@@ -298,6 +337,7 @@
     advance,
     release,
     withdraw,
+    limitAnswer,
     resize,
     keepForCheck,
     hasCheckSlot,
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -441,13 +441,20 @@
             graceMs: settings.stopGraceMs,
             calls: {
                 active: () => ingress.activeRequests + receiver.activeCalls,
+                limitAnswers: (withinMs) => calls.limitAnswers(withinMs),
                 withdrawBackend: () => localBackend.stop(),
                 refuseAll: () => ingress.refuseAll(),
                 stopListening: () => ingress.stopListening(),
             },
         });
         membership.leave();
-        log.info("node-stopped", { unfinished, tookMs: Math.round(clock.monotonicMs() - startedMs) });
+        log.info("node-stopped", {
+            unfinished,
+            pipelined: ingress.waitingRequests,
+            atOtherNodes: calls.outstandingRequests,
+            forBackend: receiver.activeCalls,
+            tookMs: Math.round(clock.monotonicMs() - startedMs),
+        });
         await resources.dispose();
         output.close();
     };
