Let backend servers that flood a node take turns

What callers saw: while backend servers sent bytes without end, requests of other callers got no answer half a second after their deadline; readiness checks took up to 1.2 s. Memory stayed bounded, 164 MB at most.

Cause: Node.js reads a connection that always has more up to 32 times 64 KiB in a row. 64 KiB of chunks of one byte take 20 ms to parse, so nothing else runs for half a second and more.

All bytes that arrive for one request are bounded, also those of interim responses.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import { Disposable } from "../core/Disposable";
 import { MemoryBudget } from "../core/MemoryBudget";
+import { ReadTurns } from "../core/ReadTurns";
 import { parseAddress } from "../transport/parseAddress";
 import { BackendConnection } from "./BackendConnection";
 import { BackendNotice } from "./BackendNotice";
@@ -44,6 +45,7 @@
 export class BackendClient implements Disposable {
     private readonly connections = new Set<BackendConnection>();
     private readonly memory = new MemoryBudget(MAXIMUM_HELD_BYTES);
+    private readonly readTurns = new ReadTurns();
     private openedCount = 0;
     private reachabilityCheck: Promise<boolean> | undefined;
 
@@ -146,6 +148,7 @@
             {
                 requestIdHeader: this.names.requestId,
                 memory: this.memory,
+                readTurns: this.readTurns,
                 onClosed: () => this.connections.delete(opened),
                 onInvalid: (reason) => this.onInvalid(reason, instanceId),
             },
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -48,6 +48,12 @@
 /** Limit of the body of a response. With its head it must fit into one frame (`TransportLimits.MaximumFrameBytes`). */
 const MAXIMUM_RESPONSE_BYTES = 16_515_072;
 
+/** Limit of all bytes that arrive for one request, with heads, interim responses and the framing of chunks. */
+const MAXIMUM_WIRE_BYTES = 2 * MAXIMUM_RESPONSE_BYTES;
+
+/** Node.js reads pieces of up to this size: after one of it, more has most likely arrived already. */
+const FULL_PIECE_BYTES = 65_536;
+
 /** One connection to a backend server. It carries one request at a time. */
 export class BackendConnection {
     private readonly parser;
@@ -59,6 +65,8 @@
     private readonly body = new ByteAccumulator();
     /** Bytes of the bodies of responses to other requests that arrived during this one. */
     private skippedBytes = 0;
+    /** All bytes that arrived during this request. */
+    private wireBytes = 0;
     private opened = false;
     /** Called once the connection is established, or has failed. */
     private settleOpening: (isOpen: boolean) => void = () => undefined;
@@ -115,6 +123,7 @@
             }
             this.pending = { request, settle };
             this.skippedBytes = 0;
+            this.wireBytes = 0;
             this.check.onSend(request.requestId, request.method);
             this.socket.write(request.bytes);
         });
@@ -151,6 +160,9 @@
     }
 
     private onData(chunk: Buffer): void {
+        const { readTurns } = this.owner;
+        readTurns.begin(performance.now());
+        this.wireBytes += chunk.length;
         // Data received while no request is in progress can't be matched to any request.
         if (!this.pending) {
             this.reject("unsolicited");
@@ -158,6 +170,13 @@
         else if (this.parser.execute(chunk) instanceof Error) {
             this.reject("malformed");
         }
+        else if (this.wireBytes > MAXIMUM_WIRE_BYTES && this.pending) {
+            this.reject("too-large");
+        }
+        else if (chunk.length >= FULL_PIECE_BYTES && !this.closed && readTurns.isOver(performance.now())) {
+            this.socket.pause();
+            readTurns.wait(() => this.socket.resume());
+        }
     }
 
     /**
--- a/src/calls/BackendConnectionOwner.ts
+++ b/src/calls/BackendConnectionOwner.ts
@@ -1,4 +1,5 @@
 import { MemoryBudget } from "../core/MemoryBudget";
+import { ReadTurns } from "../core/ReadTurns";
 
 /** Why a connection was destroyed although the backend server did not end it. The values are labels of a metric. */
 type InvalidReason =
@@ -18,6 +19,7 @@
     readonly requestIdHeader: string;
     /** Limits the unfinished responses of all connections. */
     readonly memory: MemoryBudget;
+    readonly readTurns: ReadTurns;
     /** Called once, when the connection can't be used any more. */
     readonly onClosed: () => void;
     /** Called if what the backend server sent is the reason for that. */
--- a/src/calls/HealthCheckClient.ts
+++ b/src/calls/HealthCheckClient.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import { MemoryBudget } from "../core/MemoryBudget";
+import { ReadTurns } from "../core/ReadTurns";
 import { parseAddress } from "../transport/parseAddress";
 import { BackendConnection } from "./BackendConnection";
 import { findHeader } from "./findHeader";
@@ -14,6 +15,7 @@
 /** Sends health checks to the backend server of this host. */
 export class HealthCheckClient {
     private readonly memory = new MemoryBudget(MAXIMUM_RESPONSE_BYTES);
+    private readonly readTurns = new ReadTurns();
 
     public constructor(private readonly names: HeaderNames) {}
 
@@ -31,6 +33,7 @@
             {
                 requestIdHeader: this.names.requestId,
                 memory: this.memory,
+                readTurns: this.readTurns,
                 onClosed: () => undefined,
                 onInvalid: () => undefined,
             },
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -1,6 +1,7 @@
 import { createServer, Server, Socket } from "node:net";
 import { PassThrough } from "node:stream";
 import { MemoryBudget } from "../../core/MemoryBudget";
+import { ReadTurns } from "../../core/ReadTurns";
 import { BackendClient } from "../BackendClient";
 import { BackendConnection } from "../BackendConnection";
 import { sampleHeaderNames as names } from "./sampleHeaderNames";
@@ -10,6 +11,7 @@
     new BackendConnection(socket as Socket, {
         requestIdHeader: names.requestId,
         memory: new MemoryBudget(1_000_000),
+        readTurns: new ReadTurns(),
         onClosed: () => undefined,
         onInvalid: () => undefined,
     });
--- a/src/calls/__tests__/HealthCheckClient.test.ts
+++ b/src/calls/__tests__/HealthCheckClient.test.ts
@@ -55,6 +55,32 @@
         },
     );
 
+    // Guards against a health check that keeps what a faulty backend server sends without end.
+    test.each([
+        ["body", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x".repeat(65_536)],
+        ["body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(65_536)],
+        ["head", "HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n".repeat(4_000)],
+        ["number of interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n".repeat(2_000)],
+    ])("ends a check at a response whose %s has no end", async (_case, start, repeated) => {
+        let sentBytes = 0;
+        behave = (socket) => {
+            socket.write(start);
+            const sendMore = (): void => {
+                while (!socket.destroyed && socket.write(repeated)) {
+                    sentBytes += repeated.length;
+                }
+                sentBytes += repeated.length;
+            };
+            socket.on("drain", sendMore);
+            sendMore();
+        };
+        const before = process.memoryUsage();
+        expect(["broken", "timed-out"]).toContain((await check(1_000)).kind);
+        const after = process.memoryUsage();
+        expect(sentBytes).toBeGreaterThan(0);
+        expect(after.external - before.external).toBeLessThan(16_777_216);
+    });
+
     test("tells a refused connection, a broken one and a silent backend server apart", async () => {
         behave = (socket) => void socket.destroy();
         expect(await check()).toEqual({ kind: "broken" });
