src/proxy: a test of responses without end

Bodies are streamed with backpressure, heads and trailers are limited. No fault was found; a test only.

--- a/src/proxy/__tests__/callPath.test.ts
+++ b/src/proxy/__tests__/callPath.test.ts
@@ -182,6 +182,70 @@
         expect(answer.body === body.toString()).toBe(true);
     });
 
+    // Guards against a node that keeps what a faulty backend server sends without end until it runs out of memory.
+    test("holds little of responses without end, and serves other requests beside them", async () => {
+        const head = "HTTP/1.1 200 OK\r\n";
+        const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+        const filler = "x".repeat(16_384);
+        const forms = [
+            ["", filler],
+            ["", "\r\n".repeat(8_192)],
+            ["HTTP/1.1 200 ", filler],
+            [head, "X-Filler: filler\r\n".repeat(900)],
+            [`${head}X-Filler: `, filler],
+            ["", "HTTP/1.1 102 Processing\r\n\r\n".repeat(600)],
+            [chunked, `4000\r\n${filler}\r\n`],
+            [chunked, "1\r\nx\r\n".repeat(2_000)],
+            [chunked, "0".repeat(16_384)],
+            [`${chunked}5;extension=`, filler],
+            [`${chunked}1\r\nx\r\n0\r\n`, "X-Filler: filler\r\n".repeat(900)],
+            [`${head}Connection: close\r\n\r\n`, filler],
+            [`${head}Content-Length: 99999999999\r\n\r\n`, filler],
+            [`${head}Content-Length: 2\r\n\r\nok`, filler],
+            ["HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n", `4000\r\n${filler}\r\n`],
+        ];
+        const backend = await startRawBackend((socket, path) => {
+            const [, number] = /^\/endless\/(\d+)/.exec(path) ?? [];
+            if (number === undefined) {
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntile");
+                return;
+            }
+            const [start, repeated] = forms[Number(number)];
+            const sendMore = (): void => {
+                while (!socket.destroyed && socket.write(repeated)) {
+                    // Until the buffer of the socket is full.
+                }
+            };
+            socket.on("drain", sendMore);
+            socket.write(start);
+            sendMore();
+        });
+        const caller = await startCaller([await startInbound(backend, 100)]);
+        const before = process.memoryUsage();
+        let peakBytes = 0;
+        const timer = setInterval(() => {
+            const { external, heapUsed } = process.memoryUsage();
+            peakBytes = Math.max(peakBytes, external + heapUsed - before.external - before.heapUsed);
+        }, 20);
+        const slowCallers = forms.map((_, number) => {
+            const socket = connect(caller.port, caller.host);
+            socket.on("error", () => undefined);
+            // It reads nothing, so that the response can't be passed on.
+            socket.pause();
+            socket.write(`GET /endless/${number} HTTP/1.1\r\nHost: map\r\n${proxyHeaders.service}: map\r\n\r\n`);
+            return socket;
+        });
+        const endless = forms.map((_, number) => send(caller, { path: `/endless/${number}` }).catch(() => undefined));
+        const sound = Array.from({ length: 20 }, (_, number) => send(caller, { path: `/tiles/${number}` }));
+        expect((await Promise.all(sound)).map(({ body }) => body)).toEqual(Array(20).fill("tile"));
+        const endMs = performance.now() + 4_000;
+        await Promise.race([Promise.all(endless), new Promise((resolve) => setTimeout(resolve, 4_000))]);
+        await new Promise((resolve) => setTimeout(resolve, Math.max(0, endMs - performance.now())));
+        clearInterval(timer);
+        slowCallers.forEach((socket) => socket.destroy());
+        expect(peakBytes).toBeLessThan(128 * 1_048_576);
+    }, 60_000);
+
     test("never presents a partial response as complete", async () => {
         const backend = await startBackend((_, response) => {
             response.write("half");
