A control replica that fails while it starts is started again

Cause: the failure of a replica was reported to whichever one was in use. One that failed while it was being started anew was kept, and did nothing any more; so was none started if the files of the failed one could not be closed. A start that failed after it had opened the files left them open, beside those of the next start.

Evidence: ControlSupervisor.test, "is not kept if it fails while it starts, nor if the failed one can't be closed", fails without the change: after 10 s there was one start instead of three. It was not seen with the real programs.

Change: each start has its own failure; a replica that fails while it starts is stopped and started again; what a failed start had opened is released.

--- a/src/deployment/ControlSupervisor.ts
+++ b/src/deployment/ControlSupervisor.ts
@@ -65,16 +65,28 @@
     }
 
     private async startReplica(): Promise<DeploymentControl> {
-        const control = await this.create(this.settings, this.output, this.metrics, () => void this.restart());
+        const failures: Error[] = [];
+        let isStarted = false;
+        const control = await this.create(this.settings, this.output, this.metrics, (error) => {
+            failures.push(error);
+            if (isStarted && this.control === control) {
+                void this.restart(control);
+            }
+        });
+        // A replica that failed while it started would never do anything again.
+        if (failures.length > 0) {
+            await this.disposeFailed(control);
+            throw failures[0];
+        }
+        isStarted = true;
         this.control = control;
         return control;
     }
 
-    private async restart(): Promise<void> {
+    private async restart(failedControl: DeploymentControl): Promise<void> {
         this.metrics.countDiskFailure();
-        const failedControl = this.control;
         this.control = undefined;
-        await failedControl?.dispose();
+        await this.disposeFailed(failedControl);
         // The first start is over: either the identity is on the disk, or the disk is lost and the replica must join
         // the existing group instead of founding a new one.
         this.settings = { ...this.settings, isFirstStart: false };
@@ -84,13 +96,23 @@
         }
     }
 
-    private async tryStart(failedControl: DeploymentControl | undefined): Promise<void> {
+    private async tryStart({ log }: DeploymentControl): Promise<void> {
         try {
             await this.startReplica();
-            failedControl?.log.info("control-restarted");
+            log.info("control-restarted");
+        }
+        catch (error) {
+            log.error("control-restart-failed", { reason: (error as Error).message });
+        }
+    }
+
+    /** Stops a replica. Its files may be in a state in which they can't be closed; another start opens them anew. */
+    private async disposeFailed(control: DeploymentControl): Promise<void> {
+        try {
+            await control.dispose();
         }
         catch (error) {
-            failedControl?.log.error("control-restart-failed", { reason: (error as Error).message });
+            control.log.error("control-stop-failed", { reason: (error as Error).message });
         }
     }
 }
--- a/src/deployment/createDeploymentControl.ts
+++ b/src/deployment/createDeploymentControl.ts
@@ -206,8 +206,15 @@
             changeMembership: (change) => consensus.changeMembership(change),
         }),
     );
-    await consensus.start();
-    await network.listen(parseAddressOrDefault(peerAddress));
+    try {
+        await consensus.start();
+        await network.listen(parseAddressOrDefault(peerAddress));
+    }
+    catch (error) {
+        // Otherwise this replica would go on writing to the files that the next one opens.
+        await resources.dispose();
+        throw error;
+    }
     const crashEvidence = resources.add(
         new CrashEvidenceTask({
             clock,
