Ask callers of a stopping node back once it has stopped

Cause: the time that the process has left was not part of the refusal.

Change: a request that is refused because this node stops states the time until its end. If only the backend server's node stops, it is tried elsewhere as before.

Measured: CallDispatcher.test, "tries a request elsewhere if a node stops, and asks its caller back once this node has stopped"; the retry-after was 0 before.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -96,7 +96,16 @@
 
     public constructor(private readonly options: DispatcherOptions) {}
 
-    public async dispatch({ request, ...target }: DispatchedCall): Promise<CallResult> {
+    public async dispatch(call: DispatchedCall): Promise<CallResult> {
+        const result = await this.attemptUntilDone(call);
+        const { answerWithinMs } = this.options.calls;
+        // The next process of this node serves its callers; until this one has ended, the same would be refused again.
+        return result.kind === "not-run" && result.reason === "stopping" && answerWithinMs !== undefined
+            ? { ...result, retryAfterMs: answerWithinMs }
+            : result;
+    }
+
+    private async attemptUntilDone({ request, ...target }: DispatchedCall): Promise<CallResult> {
         const { allowance, clock, nestedCalls } = this.options;
         const priority = nestedCalls.priorityOf(request.route, request.priority);
         const fingerprint = requestFingerprint(request);
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -103,6 +103,7 @@
     const dispatchOnce = async (
         nodes: readonly RoutableBackend[],
         resultOf: (nodeId: string, request: CallRequest) => CallResult,
+        answerWithinMs?: number,
     ) => {
         const send = (nodeId: string, _address: string, request: CallRequest): Promise<CallResult> =>
             Promise.resolve(resultOf(nodeId, request));
@@ -112,7 +113,7 @@
         const tried: string[] = [];
         const dispatcher = new CallDispatcher({
             clock,
-            calls: { send } as unknown as CallTask,
+            calls: { send, answerWithinMs } as unknown as CallTask,
             views,
             statistics,
             nestedCalls: new NestedCalls(),
@@ -170,6 +171,19 @@
         expect(tried.at(-1)).toBe("other");
     });
 
+    // Guards against callers that use up their retries while a stopping node refuses the same request again.
+    test("tries a request elsewhere if a node stops, and asks its caller back once this node has stopped", async () => {
+        const nodes = ["stopping", "other"].map((nodeId) => ({ ...backends[0], nodeId }));
+        const stopping: CallResult = { kind: "not-run", reason: "stopping", retryAfterMs: 0 };
+        const elsewhere = await dispatchOnce(nodes, (nodeId) => (nodeId === "other" ? answered : stopping));
+        expect(elsewhere.result).toBe(answered);
+        const refused = await dispatchOnce(nodes, () => stopping, 2_000);
+        expect(refused.tried).toHaveLength(2);
+        expect(refused.result).toMatchObject({ kind: "not-run", reason: "stopping", retryAfterMs: 2_000 });
+        const tooLate = await dispatchOnce(nodes, () => stopping, 0);
+        expect(tooLate.tried).toHaveLength(1);
+    });
+
     describe("with a request under which backend servers crash", () => {
         const three = [...backends, { ...backends[0], nodeId: "three", instanceId: "i-three" }];
 
