--- a/src/calls/AnswerDeadline.ts
+++ b/src/calls/AnswerDeadline.ts
@@ -1,9 +1,6 @@
 import { Clock } from "../core/Clock";
 
-/**
- * The time by which a request must be answered because the node that sent it ends. It may become known while the request
- * waits.
- */
+/** The time by which a request must be answered, since its sender ends then. It may become known while it waits. */
 export class AnswerDeadline {
     private currentMs: number | undefined;
     private listener: ((atMs: number) => void) | undefined;
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -162,8 +162,8 @@
     }
 
     /**
-     * From now on, requests start only if they can be answered within this time, in which this node ends. Those that wait
-     * and can't be are refused at once, so that they can be tried elsewhere.
+     * From now on, requests start only if they can be answered within this time, in which this node ends. Those that
+     * can't be are refused at once, also if they wait already, so that they can be tried elsewhere.
      */
     public limitAnswers(withinMs: number): void {
         this.answerByMs = this.nowMs() + withinMs;
--- a/src/calls/CallRequest.ts
+++ b/src/calls/CallRequest.ts
@@ -33,7 +33,7 @@
      * without a limit. The receiver uses it until it has a configuration.
      */
     readonly coldRequestsPerSecond?: number;
-    /** Time left until the sending node ends; absent unless it stops. A request that can't be answered in it must not start. */
+    /** Time until the sending node ends; absent unless it stops. What can't be answered in it must not start. */
     readonly answerWithinMs?: number;
     /** Time left for the response. */
     readonly remainingMs: number;
--- a/src/calls/CallResult.ts
+++ b/src/calls/CallResult.ts
@@ -33,7 +33,7 @@
     | "link-down"
     /** The backend server refused the request and states that it did not run. */
     | "shed"
-    /** The node on the backend server's host, or the one that received the request, ends before it could be answered. */
+    /** The node on the backend server's host, or the one that sent the request, ends before it could be answered. */
     | "stopping"
     /** The request waited too long, or its deadline passed, before it was sent. */
     | "expired"
--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -59,8 +59,8 @@
     }
 
     /**
-     * From now on, no request starts here or at other nodes unless it can be answered within this time, in which this process
-     * ends. The nodes at which requests wait decide that: what they refuse has not run.
+     * From now on, no request starts here or at other nodes unless it can be answered within this time, in which this
+     * process ends. The nodes at which requests wait decide that: what they refuse has not run.
      */
     public limitAnswers(withinMs: number): void {
         this.answerByMs = performance.now() + withinMs;
--- a/src/calls/slotQueue.ts
+++ b/src/calls/slotQueue.ts
@@ -151,10 +151,7 @@
     return nowMs + waitMs + serviceMsOf(state, call) <= call.deadlineMs;
 };
 
-/**
- * True if the request can be answered before a node on its way ends. A route whose requests have not been seen yet is given
- * the benefit of the doubt.
- */
+/** True if the request can be answered before a node on its way ends, as far as its service time is known. */
 const canBeAnswered = (state: SlotQueueState, call: WaitingCall, waitMs: number, nowMs: number): boolean => {
     if (call.answerByMs === undefined) {
         return true;
