--- a/src/calls/__tests__/linkDelay.test.ts
+++ b/src/calls/__tests__/linkDelay.test.ts
@@ -33,6 +33,12 @@
         expect(ageAfter(...quiet(20), transit(2_000, 2, { unreadMs: 650 }))).toBe(0);
     });
 
+    // Guards against GONE: a link whose messages were all read in one late turn took the least of their delays for none.
+    test.failing("counts what the receiver left unread, however many messages came late together", () => {
+        const burst = Array.from({ length: 20 }, (_, index) => transit(index, 700 - index, { unreadMs: 650 }));
+        expect(ageAfter(...burst)).toBeGreaterThanOrEqual(650);
+    });
+
     test("counts no more than the round trip, for example once the sender was suspended and its clock stood still", () => {
         const suspendedMs = 5_000;
         expect(ageAfter(...quiet(20), transit(2_000, suspendedMs + 2, { roundTripMs: 6 }))).toBe(6);
