Bound the age of messages of a link by round trips, not by a number of messages

Callers saw that requests ran after their deadlines. A node that reads late took the least delay of a link's messages for none once there were eight of them, also if all eight had been read in one late turn: the more nodes there are, the fewer messages a link carries, and the later its least delay may be. The failing test shows a burst of 20 messages that waited 700 ms, and of which the last ones counted as 0 ms old.

What the receiver may have left unread now counts on any link, up to what the round trips of the last 10 to 20 s allow: a message can't have been under way for longer than since the peer must have received the last result. The closest of these bounds is kept, since the peer may have read single results late. The number of messages no longer matters. A bound from before a clock stood still is dropped once a message contradicts it.

--- a/src/calls/linkDelay.ts
+++ b/src/calls/linkDelay.ts
@@ -8,57 +8,68 @@
     readonly unreadMs: number;
 };
 
-/** The least differences between the clocks of the two ends that messages of a link have shown. */
+/** What the messages of a link have shown lately about the difference between the clocks of its two ends. */
 type LinkDelay = {
     readonly windowStartMs: number;
+    /** The clocks differ by no more: the least difference between sending and receiving. */
     readonly leastMs: number;
     readonly previousLeastMs: number;
-    /** Messages since the first of the window before. */
-    readonly messages: number;
+    /** The clocks differ by no less, since no message arrived before it was sent in the opposite direction. */
+    readonly greatestMs: number;
+    readonly previousGreatestMs: number;
 };
 
-/** The least difference is forgotten after one to two windows, so that it follows drifting clocks and changed paths. */
+/** Differences are forgotten after one to two windows, so that they follow drifting clocks and changed paths. */
 const WINDOW_MS = 10_000;
 
-/** With fewer messages the least difference may be that of messages which were all late. */
-const MINIMUM_MESSAGES = 8;
+/** Times are stated in whole ms, so that bounds may cross by this much. */
+const ROUNDING_MS = 3;
 
 const empty: LinkDelay = {
     windowStartMs: Number.NEGATIVE_INFINITY,
     leastMs: Number.POSITIVE_INFINITY,
     previousLeastMs: Number.POSITIVE_INFINITY,
-    messages: 0,
+    greatestMs: Number.NEGATIVE_INFINITY,
+    previousGreatestMs: Number.NEGATIVE_INFINITY,
 };
 
 /** Takes in a message. */
-const record = (state: LinkDelay, { receivedAtMs, sentAtMs }: Transit): LinkDelay => {
+const record = (state: LinkDelay, { receivedAtMs, roundTripMs, sentAtMs }: Transit): LinkDelay => {
     const differenceMs = receivedAtMs - sentAtMs;
+    const boundMs = roundTripMs === undefined ? Number.NEGATIVE_INFINITY : differenceMs - roundTripMs;
     const windowAgeMs = receivedAtMs - state.windowStartMs;
+    const hasClockStopped = Math.max(state.greatestMs, state.previousGreatestMs) > differenceMs + ROUNDING_MS;
+    if (hasClockStopped || windowAgeMs >= 2 * WINDOW_MS) {
+        return { ...empty, windowStartMs: receivedAtMs, leastMs: differenceMs, greatestMs: boundMs };
+    }
     if (windowAgeMs < WINDOW_MS) {
-        return { ...state, leastMs: Math.min(state.leastMs, differenceMs), messages: state.messages + 1 };
+        const leastMs = Math.min(state.leastMs, differenceMs);
+        return { ...state, leastMs, greatestMs: Math.max(state.greatestMs, boundMs) };
     }
-    const isConsecutive = windowAgeMs < 2 * WINDOW_MS;
     return {
         windowStartMs: receivedAtMs,
         leastMs: differenceMs,
-        previousLeastMs: isConsecutive ? state.leastMs : Number.POSITIVE_INFINITY,
-        messages: isConsecutive ? state.messages + 1 : 1,
+        previousLeastMs: state.leastMs,
+        greatestMs: boundMs,
+        previousGreatestMs: state.greatestMs,
     };
 };
 
 /**
- * Returns how much longer a message that was recorded took than the fastest one lately. The clocks of the two ends need
- * not agree. It can't have taken longer than its round trip, which bounds the error after a clock has stood still. On a
- * link with few messages, what the receiver left unread counts instead.
+ * Returns for how long a message that was recorded may have been under way. The clocks of the two ends need not agree. It
+ * is what the message took beyond the fastest one lately, or what the receiver left unread if that is more: all messages
+ * of a link may have been late. It can't be more than round trips allow, which also bounds the error after a clock has stood
+ * still.
  */
 const ageMs = (
-    { leastMs, messages, previousLeastMs }: LinkDelay,
-    { receivedAtMs, roundTripMs, sentAtMs, unreadMs }: Transit,
+    { greatestMs, leastMs, previousGreatestMs, previousLeastMs }: LinkDelay,
+    { receivedAtMs, sentAtMs, unreadMs }: Transit,
 ): number => {
-    const excessMs = receivedAtMs - sentAtMs - Math.min(leastMs, previousLeastMs);
-    const estimateMs = messages < MINIMUM_MESSAGES ? Math.max(excessMs, unreadMs) : excessMs;
-    return Math.max(0, Math.min(estimateMs, roundTripMs ?? Number.POSITIVE_INFINITY));
+    const differenceMs = receivedAtMs - sentAtMs;
+    const excessMs = differenceMs - Math.min(leastMs, previousLeastMs);
+    const atMostMs = differenceMs - Math.max(greatestMs, previousGreatestMs);
+    return Math.max(0, Math.min(Math.max(excessMs, unreadMs), atMostMs));
 };
 
-/** Estimates how long messages of a link were under way, as the variation of their one-way delay. */
+/** Estimates how long messages of a link were under way, from their one-way delays and round trips. */
 export const linkDelay = { empty, record, ageMs } as const;
