Carry with each request for how long its caller may have left unnoticed, and state it when it starts

The logs told how late a node read a request, but not what was known of the caller when the request was sent to the backend server, so that young links, waits after the last look and long turns could not be told apart. A request now states the time since its sender polled its sockets; its way and its waiting for sockets to be polled are added, and for a wait in a queue or for a body the time since the receiver polled its own.

New: filbertdeal_request_unconfirmed_seconds, request-started-late.

--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -1,5 +1,6 @@
 import { MeshService } from "../configuration/MeshService";
 import { Clock } from "../core/Clock";
+import { EventLoopTurns } from "../core/EventLoopTurns";
 import { ageRequest } from "./ageRequest";
 import { AnswerDeadline } from "./AnswerDeadline";
 import { BackendClient } from "./BackendClient";
@@ -7,6 +8,7 @@
 import { BackendNotice } from "./BackendNotice";
 import { BackendQueue } from "./BackendQueue";
 import { BackendStatements } from "./BackendStatements";
+import { callerPresence } from "./callerPresence";
 import { callerServices } from "./callerServices";
 import { callerTurn } from "./callerTurn";
 import { CallRequest } from "./CallRequest";
@@ -28,6 +30,7 @@
 /** Dependencies and settings of the receiver. */
 type ReceiverOptions = Pick<LimitOptions, "cold" | "onColdChange" | "onHealthCheck"> & {
     readonly clock: Clock;
+    readonly turns: Pick<EventLoopTurns, "sincePolledMs">;
     readonly client: BackendClient;
     readonly crashGuard: CrashGuard;
     readonly healthChecks: HealthCheckClient;
@@ -36,6 +39,8 @@
     readonly drainGraceMs: number;
     /** Called when the backend server states a limit or a leaving that differs from what it stated before. */
     readonly onNotice: (instance: LocalInstance, notice: BackendNotice) => void;
+    /** Called for each request that is sent to the backend server. */
+    readonly onStart: (request: CallRequest) => void;
     /** Called for each request that held a slot. `lateMs` is negative if it ended before its target. */
     readonly onRun: (request: CallRequest, result: CallResult, slotMs: number, lateMs: number) => void;
     /** Called for each request that did not end with a response. */
@@ -280,8 +285,9 @@
         answerDeadline.onLimited((atMs) => this.queue.limitAnswer(waiting.key, atMs));
         const entered = this.queue.enter(waiting, signal);
         // A request that need not wait is sent at once, before other requests or announcements are handled.
-        const refusal = entered instanceof Promise ? await entered : entered;
-        return refusal ?? this.run(call, waiting.deadlineMs);
+        const hasWaited = entered instanceof Promise;
+        const refusal = hasWaited ? await entered : entered;
+        return refusal ?? this.run(hasWaited ? this.afterWait(call) : call, waiting.deadlineMs);
     }
 
     /** The earlier one of the times at which this node and the sender end. */
@@ -316,16 +322,23 @@
         return this.statements.isEvacuated ? evacuatedResult(requestId) : instanceAbsent;
     }
 
+    private afterWait(call: ReceivedCall): ReceivedCall {
+        return { ...call, request: callerPresence.afterWait(call.request, this.options.turns.sincePolledMs) };
+    }
+
     /** Occupies a slot while the backend server runs the request. */
     private async run(call: ReceivedCall, deadlineMs: number): Promise<CallResult> {
         const { arrivedMs, request, signal } = call;
-        const { client, crashGuard, nestedCalls, onRun } = this.options;
+        const { client, crashGuard, nestedCalls, onRun, onStart } = this.options;
         const endRun = nestedCalls.begin(request.route, request.priority);
         const startedMs = this.nowMs();
         let result: CallResult = signal.aborted ? cancelled : expired;
         const { instance } = this.statements;
         if (!signal.aborted && deadlineMs > startedMs) {
-            const send = (address: string) => client.send(address, request, deadlineMs - startedMs, signal);
+            const send = (address: string) => {
+                onStart(request);
+                return client.send(address, request, deadlineMs - startedMs, signal);
+            };
             result = instance && this.statements.accepts(request, startedMs)
                 ? await crashGuard.run(
                     ageRequest(request, startedMs - arrivedMs),
--- a/src/calls/CallRequest.ts
+++ b/src/calls/CallRequest.ts
@@ -35,6 +35,11 @@
     readonly coldRequestsPerSecond?: number;
     /** Time until the sending node ends; absent unless it stops. What can't be answered in it must not start. */
     readonly answerWithinMs?: number;
+    /**
+     * For how long the caller may have left without this node knowing, in ms. Absent if the sending node is of a release
+     * without it.
+     */
+    readonly unconfirmedMs?: number;
     /** Time left for the response. */
     readonly remainingMs: number;
     /** Time left until the response counts as late; negative once it is late. */
--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -20,7 +20,7 @@
     readonly ownId: string;
     readonly network: PeerNetwork;
     readonly clock: Clock;
-    readonly turns: Pick<EventLoopTurns, "settle" | "unreadMs">;
+    readonly turns: Pick<EventLoopTurns, "settle" | "sincePolledMs" | "unreadMs">;
     readonly receiver: CallReceiver;
     readonly bodyReceiver: BodyReceiver;
     /** Called with the time for which a request from another node was under way. */
@@ -83,7 +83,8 @@
         signal: AbortSignal,
     ): Promise<CallResult> {
         if (nodeId === this.options.ownId) {
-            const result = await this.options.receiver.receive(nodeId, request, signal);
+            const unconfirmedMs = Math.ceil(this.options.turns.sincePolledMs);
+            const result = await this.options.receiver.receive(nodeId, { ...request, unconfirmedMs }, signal);
             this.reportLoad(nodeId, this.options.receiver.loadFor(nodeId, request.route), request.route);
             return result;
         }
@@ -110,6 +111,7 @@
             {
                 ...request,
                 ...(answerWithinMs !== undefined && { answerWithinMs }),
+                unconfirmedMs: Math.ceil(this.options.turns.sincePolledMs),
                 remainingMs,
                 targetRemainingMs,
             },
--- a/src/calls/ReceivedRequests.ts
+++ b/src/calls/ReceivedRequests.ts
@@ -3,6 +3,7 @@
 import { ageRequest } from "./ageRequest";
 import { AnswerDeadline } from "./AnswerDeadline";
 import { BodyReceiver } from "./BodyReceiver";
+import { callerPresence } from "./callerPresence";
 import { CallMessage } from "./CallMessage";
 import { CallReceiver } from "./CallReceiver";
 import { CallRequest } from "./CallRequest";
@@ -12,7 +13,7 @@
 /** Dependencies of the requests that other nodes send. */
 type ReceivedRequestsOptions = {
     readonly clock: Clock;
-    readonly turns: Pick<EventLoopTurns, "settle" | "unreadMs">;
+    readonly turns: Pick<EventLoopTurns, "settle" | "sincePolledMs" | "unreadMs">;
     readonly receiver: CallReceiver;
     readonly bodyReceiver: BodyReceiver;
     /** Called with the time for which a request from a node was under way. */
@@ -131,7 +132,7 @@
         { number, order: request }: CallMessage & { readonly kind: "order"; },
         bodyBytes: number,
     ): Promise<CallResult> {
-        const { bodyReceiver, receiver } = this.options;
+        const { bodyReceiver, receiver, turns } = this.options;
         const { answerDeadline, controller: { signal } } = runningRequest;
         const refusal = receiver.refusalOf(from, request, answerDeadline);
         if (refusal) {
@@ -154,7 +155,9 @@
         }
         const waitedMs = Math.ceil(performance.now() - startedAtMs);
         try {
-            return await receiver.receive(from, { ...ageRequest(request, waitedMs), body }, signal, answerDeadline);
+            const { unconfirmedMs } = callerPresence.afterWait(request, turns.sincePolledMs);
+            const received = { ...ageRequest(request, waitedMs), unconfirmedMs, body };
+            return await receiver.receive(from, received, signal, answerDeadline);
         }
         finally {
             bodyReceiver.release(bodyBytes);
--- a/src/calls/__tests__/createCallHost.ts
+++ b/src/calls/__tests__/createCallHost.ts
@@ -38,6 +38,7 @@
     const nestedCalls = new NestedCalls();
     const receiver = new CallReceiver({
         clock,
+        turns: noLateness,
         nestedCalls,
         client: {
             send: (_address: string, request: CallRequest, _timeoutMs: number, signal: AbortSignal) =>
@@ -51,6 +52,7 @@
         onHealthCheck: () => undefined,
         drainGraceMs: 1_000,
         onNotice: () => undefined,
+        onStart: () => undefined,
         onRun: onRun ?? (() => undefined),
         onNotServed: () => undefined,
     });
--- a/src/calls/__tests__/createReceiver.ts
+++ b/src/calls/__tests__/createReceiver.ts
@@ -6,6 +6,7 @@
 import { CrashGuard } from "../CrashGuard";
 import { HealthCheckClient } from "../HealthCheckClient";
 import { NestedCalls } from "../NestedCalls";
+import { noLateness } from "./noLateness";
 
 const DRAIN_GRACE_MS = 60_000;
 
@@ -25,6 +26,7 @@
     const clock = new SystemClock();
     const receiver = new CallReceiver({
         clock,
+        turns: noLateness,
         client,
         crashGuard: new CrashGuard({ clock, evidence, isPlannedEnd: () => false }),
         healthChecks,
@@ -34,6 +36,7 @@
         onHealthCheck: () => undefined,
         drainGraceMs: DRAIN_GRACE_MS,
         onNotice: () => undefined,
+        onStart: () => undefined,
         onRun: () => undefined,
         onNotServed: () => undefined,
     });
--- a/src/calls/ageRequest.ts
+++ b/src/calls/ageRequest.ts
@@ -1,11 +1,12 @@
 import { CallRequest } from "./CallRequest";
 
-/** Returns a request with the times that are left once so much more time has passed. */
+/** Returns a request with its times once so much more time has passed. */
 export const ageRequest = (request: CallRequest, elapsedMs: number): CallRequest => {
-    const { answerWithinMs, remainingMs, targetRemainingMs } = request;
+    const { answerWithinMs, remainingMs, targetRemainingMs, unconfirmedMs } = request;
     return {
         ...request,
         ...(answerWithinMs !== undefined && { answerWithinMs: Math.max(0, answerWithinMs - elapsedMs) }),
+        ...(unconfirmedMs !== undefined && { unconfirmedMs: unconfirmedMs + elapsedMs }),
         remainingMs: remainingMs - elapsedMs,
         targetRemainingMs: targetRemainingMs - elapsedMs,
     };
--- a/src/core/EventLoopTurns.ts
+++ b/src/core/EventLoopTurns.ts
@@ -21,6 +21,11 @@
         return turnLateness.unreadMs(this.state, this.clock.monotonicMs());
     }
 
+    /** For how long messages may have arrived without being read, at most. */
+    public get sincePolledMs(): number {
+        return turnLateness.sincePolledMs(this.state, this.clock.monotonicMs());
+    }
+
     /**
      * If this process reads late, waits until all sockets have been polled once more, so that a close or a cancellation
      * that has arrived is known. Returns undefined if it keeps up: most requests need not wait.
--- a/src/core/turnLateness.ts
+++ b/src/core/turnLateness.ts
@@ -27,14 +27,26 @@
 const endTurn = (state: TurnState): TurnState => ({ ...state, isInTickedTurn: false });
 
 /**
- * Returns for how long what is read now may have waited unread, beyond the interval of the timer. Each turn polls all
- * sockets after its timers, so what is read now arrived after the last tick of an earlier turn.
+ * Returns the time since which sockets were polled last, at most. Each turn polls all of them after its timers, so what
+ * arrived before the last tick of an earlier turn has been read.
  */
-const unreadMs = ({ isInTickedTurn, previousTickMs, tickedMs }: TurnState, nowMs: number): number =>
-    Math.max(0, nowMs - (isInTickedTurn ? previousTickMs : tickedMs) - tickIntervalMs);
+const sincePolledMs = ({ isInTickedTurn, previousTickMs, tickedMs }: TurnState, nowMs: number): number =>
+    nowMs - (isInTickedTurn ? previousTickMs : tickedMs);
+
+/** Returns for how long what is read now may have waited unread, beyond the interval of the timer. */
+const unreadMs = (state: TurnState, nowMs: number): number => Math.max(0, sincePolledMs(state, nowMs) - tickIntervalMs);
 
 /** True if more may have arrived since the sockets were polled than what has been read. */
 const mustSettle = (state: TurnState, nowMs: number): boolean => unreadMs(state, nowMs) >= settleAfterMs;
 
 /** Decides from the turns of the event loop how late this process reads. */
-export const turnLateness = { tickIntervalMs, settleAfterMs, create, tick, endTurn, unreadMs, mustSettle } as const;
+export const turnLateness = {
+    tickIntervalMs,
+    settleAfterMs,
+    create,
+    tick,
+    endTurn,
+    sincePolledMs,
+    unreadMs,
+    mustSettle,
+} as const;
--- a/src/deployment/NodeMetrics.ts
+++ b/src/deployment/NodeMetrics.ts
@@ -45,6 +45,7 @@
     private readonly requests: Counter;
     private readonly answered: Counter;
     private readonly latency: Histogram;
+    private readonly requestUnconfirmed: Histogram;
     private readonly requestAge: Histogram;
     private readonly disconnections: Counter;
     private readonly attempts: Counter;
@@ -85,6 +86,12 @@
             buckets: LATENCY_BUCKETS_SECONDS,
             registers,
         });
+        this.requestUnconfirmed = new Histogram({
+            name: "filbertdeal_request_unconfirmed_seconds",
+            help: "For how long callers may have left unnoticed when their requests were sent to the backend server",
+            buckets: LATENCY_BUCKETS_SECONDS,
+            registers,
+        });
         this.quotaDecisions = new Counter({
             name: "filbertdeal_quota_requests_total",
             help: "Requests of accounts with a quota, by decision",
@@ -219,6 +226,11 @@
         this.requestAge.observe({ sender }, ageMs / 1_000);
     }
 
+    /** @param unconfirmedMs for how long the caller of a request that starts may have left unnoticed */
+    public observeStart(unconfirmedMs: number): void {
+        this.requestUnconfirmed.observe(unconfirmedMs / 1_000);
+    }
+
     public countDisconnection(reason: string): void {
         this.disconnections.inc({ reason });
     }
--- a/src/deployment/createDeploymentNode.ts
+++ b/src/deployment/createDeploymentNode.ts
@@ -68,6 +68,9 @@
 /** Requests that waited unread for longer are logged. */
 const LATE_READ_MS = 100;
 
+/** Requests whose callers may have left unnoticed for longer are logged when they start. */
+const LATE_START_MS = 250;
+
 /** Fraction of the descriptors that callers may take; the others are for links, backend servers and files. */
 const CALLER_CONNECTION_SHARE = 0.5;
 
@@ -150,6 +153,7 @@
     const nestedCalls = new NestedCalls();
     const receiver: CallReceiver = new CallReceiver({
         clock,
+        turns,
         nestedCalls,
         client,
         crashGuard: new CrashGuard({
@@ -171,6 +175,12 @@
                 log.infoRateLimited("health-check-failed", { instance, outcome });
             }
         },
+        onStart: ({ requestId, unconfirmedMs = 0 }) => {
+            metrics.observeStart(unconfirmedMs);
+            if (unconfirmedMs >= LATE_START_MS) {
+                log.infoRateLimited("request-started-late", { request: requestId, unconfirmedMs });
+            }
+        },
         onRun: (request, result, slotMs, lateMs) => metrics.slotUsage.recordRun(request, result, slotMs, lateMs),
         onNotServed: (request, result, details) => {
             const { fingerprint, instanceId, requestId, service } = request;
