Don't start a request whose caller may have left over the limit ago

Callers saw that their requests were run long after they had left, in fleets with many nodes that were behind. Each node on the way of a request looked for the caller's close once, when it read the request, and took that look for current until it sent the request on, while its turns of the event loop take 0.2 to 0.5 s and it waited again for a link, a slot or a connection. What was not known at one node was never added to what was not known at the next.

The class is staleness that isn't carried across hops. A request now states for how long its caller may have left unnoticed: since its sender polled its sockets, plus its way, plus what its receiver waited for its own sockets. Above 0.4 s it isn't started and is refused as not run (reason unconfirmed, Retry-After of that time); the limit that users state is 0.5 s, the rest is kept for what follows the decision. It is decided on arrival, before a body is taken, when a request that waited gets its slot, and when its connection to the backend server opens: that may be much later in the same turn, so that timers don't show it. A wait for a slot or a body doesn't count, since the sender then reports that the caller left; only what the receiver hasn't read does.

--- a/src/calls/BackendClient.ts
+++ b/src/calls/BackendClient.ts
@@ -3,8 +3,10 @@
 import { MemoryBudget } from "../core/MemoryBudget";
 import { ReadTurns } from "../core/ReadTurns";
 import { parseAddress } from "../transport/parseAddress";
+import { ageRequest } from "./ageRequest";
 import { BackendConnection } from "./BackendConnection";
 import { BackendNotice } from "./BackendNotice";
+import { callerPresence } from "./callerPresence";
 import { CallRequest } from "./CallRequest";
 import { CallResponse } from "./CallResponse";
 import { CallResult } from "./CallResult";
@@ -12,6 +14,7 @@
 import { findHeader } from "./findHeader";
 import { HeaderNames } from "./HeaderNames";
 import { readBackendNotice } from "./readBackendNotice";
+import { unconfirmedResult } from "./unconfirmedResult";
 
 /** A connection on the same host is accepted or refused far sooner; without either nothing is known. */
 const REACHABILITY_TIMEOUT_MS = 100;
@@ -91,7 +94,17 @@
         const onAbort = (): void => closeWith("cancelled");
         signal.addEventListener("abort", onAbort, { once: true });
         const { body, method, requestId } = request;
-        const result = await connection.send({ head: this.encodeHead(request, timeoutMs), body, method, requestId });
+        const head = this.encodeHead(request, timeoutMs);
+        const sentAtMs = performance.now();
+        let isUnconfirmed = false;
+        const mayStart = (): boolean => {
+            const waitedMs = performance.now() - sentAtMs;
+            isUnconfirmed = waitedMs > callerPresence.startWithinMs(request);
+            // The timer may be due, but is handled only after this turn.
+            closeReason ??= waitedMs >= timeoutMs ? "timed-out" : undefined;
+            return !isUnconfirmed && closeReason === undefined;
+        };
+        const result = await connection.send({ head, body, method, requestId, mayStart });
         clearTimeout(timer);
         signal.removeEventListener("abort", onAbort);
         switch (result.kind) {
@@ -101,7 +114,9 @@
                 }
                 return this.classify(result.answer);
             case "unreachable":
-                return { kind: "not-run", reason: notRunReasons[closeReason ?? "refused"], retryAfterMs: 0 };
+                return isUnconfirmed
+                    ? unconfirmedResult(ageRequest(request, performance.now() - sentAtMs))
+                    : { kind: "not-run", reason: notRunReasons[closeReason ?? "refused"], retryAfterMs: 0 };
             case "broken":
                 if (closeReason === "timed-out") {
                     this.closeIdle();
--- a/src/calls/BackendConnection.ts
+++ b/src/calls/BackendConnection.ts
@@ -14,6 +14,8 @@
     readonly body: Uint8Array;
     readonly method: string;
     readonly requestId: string;
+    /** Asked when the connection opens. If it returns false, the connection is closed and nothing is sent. */
+    readonly mayStart?: () => boolean;
 };
 
 /** How a request on this connection ended. */
@@ -86,11 +88,7 @@
         this.parser = parser;
         this.hasUnparsedBytes = hasUnparsedBytes;
         this.socket.setNoDelay(true);
-        this.socket.on("connect", () => {
-            this.opened = true;
-            this.idleSinceMs = performance.now();
-            this.settleOpening(true);
-        });
+        this.socket.on("connect", () => this.onOpen());
         this.socket.on("data", (chunk) => this.onData(chunk));
         this.socket.on("end", () => this.onEnd());
         this.socket.on("error", () => this.close());
@@ -128,7 +126,9 @@
             this.skippedBytes = 0;
             this.wireBytes = 0;
             this.check.onSend(request.requestId, request.method);
-            this.write(request);
+            if (this.opened) {
+                this.write(request);
+            }
         });
     }
 
@@ -149,6 +149,20 @@
         this.owner.onClosed();
     }
 
+    private onOpen(): void {
+        const { pending } = this;
+        if (pending?.request.mayStart?.() === false) {
+            this.close();
+            return;
+        }
+        this.opened = true;
+        this.idleSinceMs = performance.now();
+        this.settleOpening(true);
+        if (pending) {
+            this.write(pending.request);
+        }
+    }
+
     /** Small bodies are sent with their head in one piece; larger ones are not copied. */
     private write({ body, head }: WireRequest): void {
         if (body.length <= MAXIMUM_JOINED_BYTES) {
--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -79,6 +79,9 @@
 /** Reasons for which an attempt fails without costing much time or any slot. */
 const unavailableReasons: ReadonlySet<string> = new Set(["link-down", "evacuated", "stopping"]);
 
+/** Reasons of refusals that another backend server is likely to repeat. */
+const refusalReasons: ReadonlySet<string> = new Set(["no-room", "expired", "unconfirmed"]);
+
 /** Reasons for which a trial has not reached the backend server chosen for it, so that the next one takes its place. */
 const absentReasons: ReadonlySet<string> = new Set(["unreachable", "link-down", "not-here", "evacuated", "stopping"]);
 
@@ -202,7 +205,7 @@
 
     private recordRefusal(call: DispatchedCall, result: CallResult): void {
         const key = this.refusalKey(call);
-        const isRefused = result.kind === "not-run" && (result.reason === "no-room" || result.reason === "expired");
+        const isRefused = result.kind === "not-run" && refusalReasons.has(result.reason);
         const nowMs = this.options.clock.monotonicMs();
         this.refusals.set(key, refusalShare.record(this.refusals.get(key) ?? refusalShare.empty, isRefused, nowMs));
     }
--- a/src/calls/CallReceiver.ts
+++ b/src/calls/CallReceiver.ts
@@ -23,6 +23,7 @@
 import { OtherZoneAdmission } from "./OtherZoneAdmission";
 import { SendingNodes } from "./SendingNodes";
 import { slotQueue } from "./slotQueue";
+import { unconfirmedResult } from "./unconfirmedResult";
 import { updateFailureShare } from "./updateFailureShare";
 
 type LimitOptions = ConstructorParameters<typeof LocalBackendLimits>[0];
@@ -245,6 +246,9 @@
         if (!this.statements.accepts(request, nowMs)) {
             return this.notAccepted(request);
         }
+        if (callerPresence.startWithinMs(request) < 0) {
+            return unconfirmedResult(request);
+        }
         if (this.otherZones.mustRefuse(request, this.queue.state, nowMs)) {
             return noRoom(this.queue.state.serviceMs);
         }
@@ -273,6 +277,9 @@
         if (!this.statements.accepts(request, arrivedMs)) {
             return this.notAccepted(request);
         }
+        if (callerPresence.startWithinMs(request) < 0) {
+            return unconfirmedResult(request);
+        }
         if (this.otherZones.mustRefuse(request, this.queue.state, arrivedMs)) {
             return noRoom(this.queue.state.serviceMs);
         }
@@ -334,7 +341,10 @@
         const startedMs = this.nowMs();
         let result: CallResult = signal.aborted ? cancelled : expired;
         const { instance } = this.statements;
-        if (!signal.aborted && deadlineMs > startedMs) {
+        if (callerPresence.startWithinMs(request) < 0) {
+            result = unconfirmedResult(request);
+        }
+        else if (!signal.aborted && deadlineMs > startedMs) {
             const send = (address: string) => {
                 onStart(request);
                 return client.send(address, request, deadlineMs - startedMs, signal);
--- a/src/calls/CallResult.ts
+++ b/src/calls/CallResult.ts
@@ -37,6 +37,8 @@
     | "shed"
     /** The node on the backend server's host, or the one that sent the request, ends before it could be answered. */
     | "stopping"
+    /** The caller may have left before the request was sent: the nodes on its way read too late to know. */
+    | "unconfirmed"
     /** The request waited too long, or its deadline passed, before it was sent. */
     | "expired"
     | "cancelled";
--- a/src/calls/__tests__/BackendClient.test.ts
+++ b/src/calls/__tests__/BackendClient.test.ts
@@ -1,9 +1,12 @@
 import { createServer, Server, Socket } from "node:net";
 import { PassThrough } from "node:stream";
 import { MemoryBudget } from "../../core/MemoryBudget";
+import { pause } from "../../core/pause";
 import { ReadTurns } from "../../core/ReadTurns";
 import { BackendClient } from "../BackendClient";
 import { BackendConnection } from "../BackendConnection";
+import { callerPresence } from "../callerPresence";
+import { blockEventLoop } from "./blockEventLoop";
 import { sampleHeaderNames as names } from "./sampleHeaderNames";
 import { sampleRequest } from "./sampleRequest";
 
@@ -267,6 +270,16 @@
         expect(await cancelled).toMatchObject({ kind: "not-run", reason: "cancelled" });
     });
 
+    // Guards against GONE: a request is written only when its connection opens, in a later turn of the event loop.
+    test("sends nothing on a connection that opens when the caller may have left over the limit ago", async () => {
+        const held = { ...request("r1"), unconfirmedMs: callerPresence.limitMs - 20 };
+        const sent = client.send(address, held, 60_000, new AbortController().signal);
+        blockEventLoop(100);
+        expect(await sent).toMatchObject({ kind: "not-run", reason: "unconfirmed" });
+        await pause(50);
+        expect(received).toEqual([]);
+    });
+
     test("closes the connection of a request that its caller cancels", async () => {
         const controller = new AbortController();
         const closed = new Promise<void>((resolve) => {
--- a/src/calls/__tests__/CallReceiver.test.ts
+++ b/src/calls/__tests__/CallReceiver.test.ts
@@ -1,4 +1,5 @@
 import { BackendClient } from "../BackendClient";
+import { callerPresence } from "../callerPresence";
 import { CallReceiver } from "../CallReceiver";
 import { CallRequest } from "../CallRequest";
 import { CallResult } from "../CallResult";
@@ -19,18 +20,19 @@
     /** Completes the requests that the backend server runs, in the order in which they were sent. */
     let finish: ((result: CallResult) => void)[] = [];
     let receiver: CallReceiver;
+    let client: BackendClient;
 
     beforeEach(() => {
         sent = [];
         finish = [];
-        const client = {
+        client = {
             send: (_address: string, { requestId }: CallRequest) => {
                 sent.push(requestId);
                 return new Promise<CallResult>((resolve) => finish.push(resolve));
             },
             closeIdle: () => undefined,
-        };
-        receiver = createReceiver(client as unknown as BackendClient, 1);
+        } as unknown as BackendClient;
+        receiver = createReceiver(client, 1);
     });
 
     const receive = (name: string, change: Partial<CallRequest> = {}, signal = new AbortController().signal) =>
@@ -70,6 +72,32 @@
         expect(sent).toEqual(["r1"]);
     });
 
+    // Guards against GONE: requests that nodes hold up, each for a short time, start long after their callers have left.
+    test("refuses a request whose caller may have left over the limit ago as not run, and takes its body no more", async () => {
+        const held = { unconfirmedMs: callerPresence.limitMs + 1 };
+        const refused = { kind: "not-run", reason: "unconfirmed", retryAfterMs: held.unconfirmedMs };
+        expect(await receive("r1", held)).toEqual(refused);
+        expect(receiver.refusalOf("node-1", sampleRequest("r2", held))).toEqual(refused);
+        expect(sent).toEqual([]);
+    });
+
+    // Guards against the same for a request that waited for a slot at a node that reads late.
+    test("counts what this node has not read when a request that waited gets its slot", async () => {
+        let sincePolledMs = 0;
+        const turns = {
+            get sincePolledMs(): number {
+                return sincePolledMs;
+            },
+        };
+        receiver = createReceiver(client, 1, undefined, undefined, turns);
+        void receive("r1", { unconfirmedMs: 200 });
+        const waiting = [receive("r2", { unconfirmedMs: 200 }), receive("r3", { unconfirmedMs: 100 })];
+        sincePolledMs = callerPresence.limitMs - 150;
+        finish[0](answered);
+        expect(await waiting[0]).toMatchObject({ kind: "not-run", reason: "unconfirmed" });
+        expect(sent).toEqual(["r1", "r3"]);
+    });
+
     describe("while a node on the way of a request stops", () => {
         /** Lets the receiver learn that requests take 100 ms, with one that runs then. */
         const warmUp = async () => {
--- a/src/calls/__tests__/createReceiver.ts
+++ b/src/calls/__tests__/createReceiver.ts
@@ -22,11 +22,12 @@
     slots: number,
     healthChecks = noHealthChecks,
     evidence: CrashEvidenceTask = createCrashEvidence(),
+    turns: ConstructorParameters<typeof CallReceiver>[0]["turns"] = noLateness,
 ): CallReceiver => {
     const clock = new SystemClock();
     const receiver = new CallReceiver({
         clock,
-        turns: noLateness,
+        turns,
         client,
         crashGuard: new CrashGuard({ clock, evidence, isPlannedEnd: () => false }),
         healthChecks,
--- a/src/calls/__tests__/lateLinks.test.ts
+++ b/src/calls/__tests__/lateLinks.test.ts
@@ -105,6 +105,17 @@
         expect(started[0].targetRemainingMs).toBeLessThanOrEqual(500 - 300 + TOLERANCE_MS);
     });
 
+    // Guards against GONE: what a request was held up by on its way counts when it is decided whether it may start.
+    test("state for how long their callers may have left, with the way between the nodes", async () => {
+        proxy.pauseTowardsTarget();
+        const sent = send("r1", 5_000);
+        await pause(300);
+        proxy.endFaults();
+        await sent;
+        expect(started[0].unconfirmedMs).toBeGreaterThanOrEqual(300 - TOLERANCE_MS);
+        expect(started[0].unconfirmedMs).toBeLessThanOrEqual(300 + 3 * TOLERANCE_MS);
+    });
+
     // Guards against the same for a request whose time was over before it was read, by a sender too late to cancel it.
     test("do not start if their time is over", async () => {
         const results: CallMessage[] = [];
--- a/src/calls/callerPresence.ts
+++ b/src/calls/callerPresence.ts
@@ -2,6 +2,15 @@
 
 type Known = Pick<CallRequest, "unconfirmedMs">;
 
+/** A request must not reach a backend server if its caller left longer ago than this. */
+const boundMs = 500;
+
+/** Part of the bound for what follows the decision to start a request, also in a process that is interrupted there. */
+const reserveMs = 100;
+
+/** A request isn't started if its caller may have left longer ago than this. */
+const limitMs = boundMs - reserveMs;
+
 /**
  * Returns a request that has waited for something other than its nodes, such as a slot. While it waits its sender
  * reports that the caller has left: only what this node has not read is unknown.
@@ -12,5 +21,8 @@
     unconfirmedMs: (request.unconfirmedMs ?? 0) + Math.ceil(sincePolledMs),
 });
 
-/** Tells for how long a caller may have left without the nodes on the way of its request knowing. */
-export const callerPresence = { afterWait } as const;
+/** Returns how much longer a request may be held up before it must not start any more; negative once it must not. */
+const startWithinMs = ({ unconfirmedMs = 0 }: Known): number => limitMs - unconfirmedMs;
+
+/** Decides from what the nodes on the way of a request know of its caller whether it may still start. */
+export const callerPresence = { boundMs, limitMs, afterWait, startWithinMs } as const;
