Count the way of the message that a sending node ends

A request that waits at another node must not start unless it can be answered before its sender ends. The message that says so states a time that is left, which its receiver counted from when it read the message: at a node that reads late, or over a slow link, a request started that could only be cut off.

The message now states its timing, as requests do, and its age is subtracted.

--- a/src/calls/CallMessage.ts
+++ b/src/calls/CallMessage.ts
@@ -23,7 +23,13 @@
     /** The caller has disconnected, the time is over, or another attempt has succeeded. */
     | { readonly kind: "cancel"; readonly number: number; }
     /** The sending node ends in this time: a waiting request that can't be answered in it must not start. */
-    | { readonly kind: "answer-within"; readonly number: number; readonly withinMs: number; }
+    | {
+        readonly kind: "answer-within";
+        readonly number: number;
+        readonly withinMs: number;
+        /** Absent if the sending node is of a release without it. */
+        readonly timing?: MessageTiming;
+    }
     /** Checks that the link is alive when no message has arrived for a while; the other side replies with "pong". */
     | { readonly kind: "ping"; }
     | { readonly kind: "pong"; }
--- a/src/calls/ReceivedRequests.ts
+++ b/src/calls/ReceivedRequests.ts
@@ -62,7 +62,8 @@
             return;
         }
         if (message.kind === "answer-within") {
-            running.get(message.number)?.answerDeadline.limitTo(message.withinMs);
+            const withinMs = message.withinMs - peer.transit.ageMs(message.timing);
+            running.get(message.number)?.answerDeadline.limitTo(withinMs);
             return;
         }
         if (message.kind === "body") {
--- a/src/calls/SentRequests.ts
+++ b/src/calls/SentRequests.ts
@@ -72,7 +72,8 @@
             };
             const limitAnswer = (withinMs: number): void => {
                 withdrawUnsentAfter(withinMs);
-                link.send({ kind: "answer-within", number, withinMs } satisfies CallMessage);
+                const timing = timingOf(nodeLink, performance.now());
+                link.send({ kind: "answer-within", number, withinMs, timing } satisfies CallMessage);
             };
             const onAbort = (): void => cancel("cancelled");
             const timer = setTimeout(() => cancel("timed-out"), request.remainingMs);
--- a/src/calls/__tests__/lateLinks.test.ts
+++ b/src/calls/__tests__/lateLinks.test.ts
@@ -31,6 +31,8 @@
 describe("requests of other nodes that a node reads late", () => {
     let disposables: { dispose: () => unknown; }[] = [];
     let started: CallRequest[] = [];
+    let deadlines: AnswerDeadline[] = [];
+    let answerAfterMs = 0;
     let proxy: FaultProxy;
     let address = "";
     let sender: CallTask;
@@ -47,12 +49,16 @@
         const receiver = {
             receive: (_from: string, request: CallRequest): Promise<CallResult> => {
                 started.push(request);
-                return Promise.resolve(answered);
+                return pause(answerAfterMs).then(() => answered);
             },
             refusalOf: () => undefined,
             expectedMs: () => 10,
             remainingMs: ({ remainingMs }: CallRequest) => remainingMs,
-            createAnswerDeadline: () => new AnswerDeadline(clock),
+            createAnswerDeadline: () => {
+                const deadline = new AnswerDeadline(clock);
+                deadlines.push(deadline);
+                return deadline;
+            },
             limitAnswers: () => undefined,
             loadFor: () => undefined,
         };
@@ -72,6 +78,7 @@
 
     beforeEach(async () => {
         disposables = [];
+        answerAfterMs = 0;
         started = [];
         proxy = new FaultProxy();
         disposables.push(proxy);
@@ -84,6 +91,7 @@
             await send("earlier", 5_000);
         }
         started = [];
+        deadlines = [];
     });
     afterEach(async () => {
         for (const disposable of disposables.reverse()) {
@@ -116,6 +124,20 @@
         expect(started[0].unconfirmedMs).toBeLessThanOrEqual(300 + 3 * TOLERANCE_MS);
     });
 
+    // Guards against a request that starts after its sender has ended, since the way of the message about its end wasn't counted.
+    test("must be answered by the time at which their sender ends, however late that was read", async () => {
+        const endsAtMs = clock.monotonicMs() + 2_000;
+        answerAfterMs = 600;
+        const sent = send("r1", 5_000);
+        await pause(100);
+        proxy.pauseTowardsTarget();
+        sender.limitAnswers(2_000);
+        await pause(300);
+        proxy.endFaults();
+        await sent;
+        expect(deadlines[0].atMs).toBeLessThanOrEqual(endsAtMs + 100 + TOLERANCE_MS);
+    });
+
     // Guards against the same for a request whose time was over before it was read, by a sender too late to cancel it.
     test("do not start if their time is over", async () => {
         const results: CallMessage[] = [];
