Look for the caller's close once more after waiting for a link to open

A node that keeps up doesn't wait, nor does a request whose link is open.

The new test in CallTask.test.ts failed before: the request was sent and answered.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -89,10 +89,14 @@
             return result;
         }
         const startedAtMs = performance.now();
+        const wasOpen = this.links.isOpen(address);
         const nodeLink = await this.links.open(address, idempotent);
         if (!nodeLink) {
             return linkResults.down;
         }
+        if (!wasOpen) {
+            await this.options.turns.settle();
+        }
         if (signal.aborted) {
             return { kind: "not-run", reason: "cancelled", retryAfterMs: 0 };
         }
--- a/src/calls/NodeLinks.ts
+++ b/src/calls/NodeLinks.ts
@@ -90,6 +90,11 @@
         return replacement && await replacement.link.waitUntilOpen(OPEN_TIMEOUT_MS) ? replacement : undefined;
     }
 
+    /** True if there is an open link to the node at an address. */
+    public isOpen(address: string): boolean {
+        return this.links.get(address)?.link.isOpen() === true;
+    }
+
     /** Requests that wait for results. */
     public get outstandingRequests(): number {
         return this.allLinks.reduce((sum, { outstanding }) => sum + outstanding.size, 0);
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -48,7 +48,7 @@
         return network;
     };
 
-    const createTask = (ownId: string, network: PeerNetwork) => {
+    const createTask = (ownId: string, network: PeerNetwork, turns: typeof noLateness = noLateness) => {
         const receiver = {
             receive: (_from: string, received: CallRequest, signal: AbortSignal) => run(received, signal),
             refusalOf: (_from: string, request: CallRequest) => refusalOf(request),
@@ -66,7 +66,7 @@
             ownId,
             network,
             clock: new SystemClock(),
-            turns: noLateness,
+            turns,
             onReceived: () => undefined,
             receiver: receiver as unknown as CallReceiver,
             bodyReceiver: new BodyReceiver({
@@ -103,6 +103,21 @@
     const send = (requestId: string, idempotent: boolean, signal = new AbortController().signal) =>
         sender.send("receiver", address, sampleRequest(requestId), idempotent, signal);
 
+    // Guards against GONE: a caller's close that arrives while a link opens was handled after its request had been sent.
+    test("sends nothing if the caller has left while the link was opened", async () => {
+        const controller = new AbortController();
+        const settle = async (): Promise<void> => controller.abort();
+        const late = createTask("late-sender", createNetwork("late-sender"), { ...noLateness, settle });
+        let runs = 0;
+        run = () => {
+            runs += 1;
+            return Promise.resolve(answered);
+        };
+        const result = await late.send("receiver", address, sampleRequest("r1"), true, controller.signal);
+        expect(result).toMatchObject({ kind: "not-run", reason: "cancelled" });
+        expect(runs).toBe(0);
+    });
+
     test("returns results in any order over one link", async () => {
         const finish = new Map<string, () => void>();
         run = ({ requestId }) => new Promise((resolve) => finish.set(requestId, () => resolve(answered)));
