Look for the caller's close after a ping on an idle link, and refuse at the sender what its receiver would refuse

The two remaining waits of a sender in CallTask: a request that is not idempotent waits up to 600 ms for the answer to a ping on a link that was idle, after the last look at its caller; and a sender whose own look was older than the limit sent the request all the same, for the receiver to refuse.

Both new tests in CallTask.test.ts failed before: one look instead of two, and a request that was sent and run.

--- a/src/calls/CallTask.ts
+++ b/src/calls/CallTask.ts
@@ -5,6 +5,7 @@
 import { PeerNetwork } from "../transport/PeerNetwork";
 import { BackendLoad } from "./BackendLoad";
 import { BodyReceiver } from "./BodyReceiver";
+import { callerPresence } from "./callerPresence";
 import { CallMessage } from "./CallMessage";
 import { CallReceiver } from "./CallReceiver";
 import { CallRequest } from "./CallRequest";
@@ -14,6 +15,7 @@
 import { OutstandingRequest } from "./OutstandingRequest";
 import { ReceivedRequests } from "./ReceivedRequests";
 import { SentRequests } from "./SentRequests";
+import { unconfirmedResult } from "./unconfirmedResult";
 
 /** Dependencies of the exchange of requests between nodes. */
 type CallTaskOptions = {
@@ -89,12 +91,12 @@
             return result;
         }
         const startedAtMs = performance.now();
-        const wasOpen = this.links.isOpen(address);
+        const mustWait = !this.links.isReady(address, idempotent);
         const nodeLink = await this.links.open(address, idempotent);
         if (!nodeLink) {
             return linkResults.down;
         }
-        if (!wasOpen) {
+        if (mustWait) {
             await this.options.turns.settle();
         }
         if (signal.aborted) {
@@ -110,18 +112,16 @@
         if (answerWithinMs === 0) {
             return { kind: "not-run", reason: "stopping", retryAfterMs: 0 };
         }
-        return this.sent.exchange(
-            nodeLink,
-            {
-                ...request,
-                ...(answerWithinMs !== undefined && { answerWithinMs }),
-                unconfirmedMs: Math.ceil(this.options.turns.sincePolledMs),
-                remainingMs,
-                targetRemainingMs,
-            },
-            idempotent,
-            signal,
-        );
+        const sentRequest: CallRequest = {
+            ...request,
+            ...(answerWithinMs !== undefined && { answerWithinMs }),
+            unconfirmedMs: Math.ceil(this.options.turns.sincePolledMs),
+            remainingMs,
+            targetRemainingMs,
+        };
+        return callerPresence.startWithinMs(sentRequest) < 0
+            ? unconfirmedResult(sentRequest)
+            : this.sent.exchange(nodeLink, sentRequest, idempotent, signal);
     }
 
     /** See `NodeLinks.updateMembers`. */
--- a/src/calls/NodeLinks.ts
+++ b/src/calls/NodeLinks.ts
@@ -90,9 +90,10 @@
         return replacement && await replacement.link.waitUntilOpen(OPEN_TIMEOUT_MS) ? replacement : undefined;
     }
 
-    /** True if there is an open link to the node at an address. */
-    public isOpen(address: string): boolean {
-        return this.links.get(address)?.link.isOpen() === true;
+    /** True if `open` returns the link to the node at an address without waiting. */
+    public isReady(address: string, idempotent: boolean): boolean {
+        const known = this.links.get(address);
+        return known?.link.isOpen() === true && (idempotent || this.isAssumedAlive(known));
     }
 
     /** Requests that wait for results. */
@@ -140,8 +141,13 @@
         return [...this.links.values(), ...this.retired];
     }
 
-    private confirmAlive({ livenessWaiters, lastReceivedAtMs, link }: NodeLink): Promise<boolean> {
-        if (performance.now() - lastReceivedAtMs < ASSUMED_ALIVE_MS) {
+    private isAssumedAlive({ lastReceivedAtMs }: NodeLink): boolean {
+        return performance.now() - lastReceivedAtMs < ASSUMED_ALIVE_MS;
+    }
+
+    private confirmAlive(nodeLink: NodeLink): Promise<boolean> {
+        const { link, livenessWaiters } = nodeLink;
+        if (this.isAssumedAlive(nodeLink)) {
             return Promise.resolve(true);
         }
         link.send({ kind: "ping" } satisfies CallMessage);
--- a/src/calls/__tests__/CallTask.test.ts
+++ b/src/calls/__tests__/CallTask.test.ts
@@ -6,6 +6,7 @@
 import { PeerNetwork } from "../../transport/PeerNetwork";
 import { AnswerDeadline } from "../AnswerDeadline";
 import { BodyReceiver } from "../BodyReceiver";
+import { callerPresence } from "../callerPresence";
 import { CallReceiver } from "../CallReceiver";
 import { CallRequest } from "../CallRequest";
 import { CallResult } from "../CallResult";
@@ -118,6 +119,40 @@
         expect(runs).toBe(0);
     });
 
+    // Guards against GONE: a sender that reads late itself left it to the receiver to refuse its requests.
+    test("sends nothing if the caller may have left over the limit ago", async () => {
+        const turns = { ...noLateness, sincePolledMs: callerPresence.limitMs + 1 };
+        const late = createTask("late-sender", createNetwork("late-sender"), turns);
+        let runs = 0;
+        run = () => {
+            runs += 1;
+            return Promise.resolve(answered);
+        };
+        const { signal } = new AbortController();
+        const result = await late.send("receiver", address, sampleRequest("r1"), true, signal);
+        expect(result).toMatchObject({ kind: "not-run", reason: "unconfirmed" });
+        expect(runs).toBe(0);
+    });
+
+    // Guards against the same while a link that was idle is confirmed to be alive.
+    test("looks for the caller's close once more after a ping on an idle link, and not on a link in use", async () => {
+        let looks = 0;
+        const settle = (): Promise<void> => {
+            looks += 1;
+            return Promise.resolve();
+        };
+        const late = createTask("late-sender", createNetwork("late-sender"), { ...noLateness, settle });
+        run = () => Promise.resolve(answered);
+        const order = () => late.send("receiver", address, sampleRequest("r1"), false, new AbortController().signal);
+        await order();
+        expect(looks).toBe(1);
+        await order();
+        expect(looks).toBe(1);
+        await pause(1_100);
+        await order();
+        expect(looks).toBe(2);
+    });
+
     test("returns results in any order over one link", async () => {
         const finish = new Map<string, () => void>();
         run = ({ requestId }) => new Promise((resolve) => finish.set(requestId, () => resolve(answered)));
