Try nothing elsewhere after an unconfirmed request while the sender itself is late

A refused request was sent to further nodes, and refused there for the same reason: its sender did not know more of the caller. Processor time went to that.

A sender whose sockets were not polled for two intervals of the timer now tells the caller at once. One that keeps up still tries another node, for example if the first was frozen. A wait for a poll now ends that turn's lateness as well, which it already proved.

--- a/src/calls/CallDispatcher.ts
+++ b/src/calls/CallDispatcher.ts
@@ -1,6 +1,7 @@
 import { MeshRoute } from "../configuration/MeshRoute";
 import { Clock } from "../core/Clock";
 import { EventLoopTurns } from "../core/EventLoopTurns";
+import { turnLateness } from "../core/turnLateness";
 import { CrashEvidenceTask } from "../crashes/CrashEvidenceTask";
 import { CrashVerdict } from "../crashes/CrashVerdict";
 import { requestFingerprint } from "../crashes/requestFingerprint";
@@ -24,7 +25,7 @@
 /** Dependencies and settings of the dispatcher. */
 type DispatcherOptions = {
     readonly clock: Clock;
-    readonly turns: Pick<EventLoopTurns, "settle">;
+    readonly turns: Pick<EventLoopTurns, "settle" | "sincePolledMs">;
     readonly calls: CallTask;
     readonly views: BackendViews;
     readonly selector: BackendSelector;
@@ -85,6 +86,9 @@
 /** Reasons for which a trial has not reached the backend server chosen for it, so that the next one takes its place. */
 const absentReasons: ReadonlySet<string> = new Set(["unreachable", "link-down", "not-here", "evacuated", "stopping"]);
 
+/** A node whose sockets were polled within this time keeps up with its callers. */
+const KEEPS_UP_MS = 2 * turnLateness.tickIntervalMs;
+
 /** How many attempts of one request may fail for these reasons; after one more it is not retried. */
 const MAXIMUM_UNAVAILABLE = 6;
 
@@ -328,6 +332,12 @@
         }
     }
 
+    /** True if a refusal for this reason would be repeated elsewhere: this node is what doesn't know of the caller. */
+    private isFinal(reason: string): boolean {
+        return reason === "crashes-backends"
+            || (reason === "unconfirmed" && this.options.turns.sincePolledMs > KEEPS_UP_MS);
+    }
+
     private mayRetry(call: DispatchedCall, result: CallResult, sent: number, refusals: number): boolean {
         const { allowance, calls, clock } = this.options;
         const { route, signal } = call;
@@ -339,7 +349,7 @@
         if (result.kind === "answered" && !isServerError(result.answer.status)) {
             return false;
         }
-        if (result.kind === "not-run" ? result.reason === "crashes-backends" : !isIdempotent(route)) {
+        if (result.kind === "not-run" ? this.isFinal(result.reason) : !isIdempotent(route)) {
             return false;
         }
         if (sent >= route.maximumAttempts || refusals > this.maximumRefusals(call)) {
--- a/src/calls/__tests__/CallDispatcher.test.ts
+++ b/src/calls/__tests__/CallDispatcher.test.ts
@@ -106,6 +106,7 @@
         nodes: readonly RoutableBackend[],
         resultOf: (nodeId: string, request: CallRequest) => CallResult,
         answerWithinMs?: number,
+        turns = noLateness,
     ) => {
         const send = (nodeId: string, _address: string, request: CallRequest): Promise<CallResult> =>
             Promise.resolve(resultOf(nodeId, request));
@@ -115,7 +116,7 @@
         const tried: string[] = [];
         const dispatcher = new CallDispatcher({
             clock,
-            turns: noLateness,
+            turns,
             calls: { send, answerWithinMs } as unknown as CallTask,
             views,
             statistics,
@@ -155,6 +156,17 @@
         expect(last).toEqual([undefined, true]);
     });
 
+    // Guards against further work at nodes that are behind: each attempt would be refused for what the sender doesn't know.
+    test("tries a request whose caller may have left elsewhere only if this node itself keeps up", async () => {
+        const nodes = ["e1", "e2"].map((nodeId) => ({ ...backends[0], nodeId }));
+        const refused: CallResult = { kind: "not-run", reason: "unconfirmed", retryAfterMs: 450 };
+        const resultOf = (): CallResult => refused;
+        const late = await dispatchOnce(nodes, resultOf, undefined, { ...noLateness, sincePolledMs: 300 });
+        expect(late).toEqual({ result: refused, tried: ["e1"] });
+        const { tried } = await dispatchOnce(nodes, resultOf);
+        expect(tried).toHaveLength(2);
+    });
+
     test("refuses a request at once with the reason if every zone is evacuated", async () => {
         const { result, tried } = await dispatchOnce([], () => answered);
         expect(result).toMatchObject({ kind: "not-run", reason: "evacuated" });
--- a/src/core/EventLoopTurns.ts
+++ b/src/core/EventLoopTurns.ts
@@ -35,7 +35,14 @@
             return undefined;
         }
         // The first call may come before this turn's poll, the second one comes after that of the next turn.
-        return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+        return new Promise((resolve) =>
+            setImmediate(() =>
+                setImmediate(() => {
+                    this.state = turnLateness.endTurn(this.state);
+                    resolve();
+                })
+            )
+        );
     }
 
     public dispose(): void {
