--- a/src/core/__tests__/turnLateness.test.ts
+++ b/src/core/__tests__/turnLateness.test.ts
@@ -38,6 +38,17 @@
 });
 
 describe("EventLoopTurns", () => {
+    // Guards against counting the lateness of a turn for requests that have waited for the poll of the next one.
+    test("knows after settling that sockets have just been polled", async () => {
+        const turns = new EventLoopTurns(new SystemClock());
+        await pause(2 * tickIntervalMs);
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+        expect(turns.sincePolledMs).toBeGreaterThanOrEqual(600);
+        await turns.settle();
+        expect(turns.sincePolledMs).toBeLessThan(600);
+        turns.dispose();
+    });
+
     test("reports a turn that took long to what is read in the next one", async () => {
         const turns = new EventLoopTurns(new SystemClock());
         await pause(2 * tickIntervalMs);
