--- a/review/lib-3/StandInServer.mjs
+++ b/review/lib-3/StandInServer.mjs
@@ -31,10 +31,21 @@
         this.server.closeAllConnections();
     }
 
+    /** Leaves as planned: it reports that, goes on for the time of `Drain` and a little longer, and ends. */
+    async leave(drainMs) {
+        this.#state = "draining";
+        while (!(await this.beat())) {
+            await pause(200);
+        }
+        await pause(drainMs + 500);
+        await this.#post("Deregister", { born: this.#bornMs });
+        this.stop();
+    }
+
     /** Sends a heartbeat. Resolves to whether it was acknowledged. */
     beat() {
         this.#sequence += 1;
-        const body = JSON.stringify({
+        return this.#post("Heartbeat", {
             ServiceName: this.service,
             Address: `${this.host}:${this.port}`,
             Zone: this.zone,
@@ -45,13 +56,16 @@
             Sequence: this.#sequence,
             born: this.#bornMs,
         });
+    }
+
+    #post(call, message) {
         return new Promise((settle) => {
             const outgoing = request(
                 {
                     host: this.host,
                     port: this.controlPort,
                     method: "POST",
-                    path: `/filbertdeal/Instances.Heartbeat/${this.id}`,
+                    path: `/filbertdeal/Instances.${call}/${this.id}`,
                     headers: { "Content-Type": "application/json" },
                     timeout: 1_000,
                     agent: false,
@@ -63,7 +77,7 @@
             );
             outgoing.on("timeout", () => outgoing.destroy());
             outgoing.on("error", () => settle(false));
-            outgoing.end(body);
+            outgoing.end(JSON.stringify(message));
         });
     }
 
