--- a/review/lib-3/StandInClients.mjs
+++ b/review/lib-3/StandInClients.mjs
@@ -15,18 +15,26 @@
     async run() {
         while (!this.#isStopped) {
             this.#last += 1;
-            void this.send(`${this.name}-${this.#last}`).then((answer) => this.answers.push(answer));
+            void this.send(`${this.name}-${this.#last}`).then((answer) =>
+                this.answers.push({ ...answer, endedMs: performance.now() })
+            );
             await pause(1_000 / this.perSecond);
         }
     }
 
-    stop() {
+    /** Sends nothing more. */
+    pause() {
         this.#isStopped = true;
+    }
+
+    stop() {
+        this.pause();
         this.agent.destroy();
     }
 
     send(id) {
         const { agent, deadlineMs, host, hostname, method, path, port } = this;
+        const sentMs = performance.now();
         return new Promise((settle) => {
             const outgoing = request(
                 {
@@ -41,12 +49,12 @@
                 (response) => {
                     let text = "";
                     response.on("data", (chunk) => (text += chunk));
-                    response.on("error", () => settle({ id, status: 0, text: "cut" }));
-                    response.on("end", () => settle({ id, status: response.statusCode, text }));
+                    response.on("error", () => settle({ id, sentMs, status: 0, text: "cut" }));
+                    response.on("end", () => settle({ id, sentMs, status: response.statusCode, text }));
                 },
             );
             outgoing.on("timeout", () => outgoing.destroy());
-            outgoing.on("error", (error) => settle({ id, status: 0, text: error.message }));
+            outgoing.on("error", (error) => settle({ id, sentMs, status: 0, text: error.message }));
             outgoing.end();
         });
     }
--- a/review/lib-3/StandInMesh.mjs
+++ b/review/lib-3/StandInMesh.mjs
@@ -62,8 +62,9 @@
     /**
      * @param services of the nodes, in their order
      * @param bounds as in the settings file
+     * @param createNetwork creates what stands between the machines; see `SilentNetwork`
      */
-    static async start({ controlCount, services, zones = ["zone-a"], bounds = {} }) {
+    static async start({ controlCount, services, zones = ["zone-a"], bounds = {}, createNetwork }) {
         const folder = await mkdtemp(join(tmpdir(), "review-"));
         const controlHosts = Array.from({ length: controlCount }, (_, index) => `127.0.11.${index + 1}`);
         const nodeHosts = services.map((_, index) => `127.0.12.${index + 1}`);
@@ -73,6 +74,7 @@
         const mesh = new StandInMesh(folder, ports, roles, bounds);
         mesh.seeds = controlHosts.slice(0, 3).map((host) => `${host}:${mesh.controlPort}`);
         mesh.zones = zones;
+        mesh.network = await createNetwork?.({ controlHosts, nodeHosts, peerPort: mesh.peerPort });
         for (const [index, host] of controlHosts.entries()) {
             mesh.controls.push(await mesh.#create("control", `core-${index + 1}`, host, zones[index % zones.length]));
         }
@@ -107,6 +109,7 @@
                     }),
             ),
         );
+        this.network?.end();
         await rm(this.folder, { recursive: true, force: true });
     }
 
@@ -186,6 +189,7 @@
                 PATH: process.env.PATH,
                 HOME: process.env.HOME,
                 ...environment,
+                ...this.network?.environmentOf(machine.host),
                 FILBERTDEAL_BOOT: join(this.folder, `${machine.name}.json`),
                 FILBERTDEAL_METRICS_PORT: String(this.metricsPort),
             },
--- a/review/lib-3/StandInServer.mjs
+++ b/review/lib-3/StandInServer.mjs
@@ -6,6 +6,8 @@
 /** A sound application instance beside a node, which it sends heartbeats. */
 export class StandInServer {
     runs = [];
+    /** When requests were dropped at which this instance was still at work, by their ids. */
+    droppedMs = new Map();
     failureShare = 0;
     #sequence = 0;
     #bornMs = Date.now();
@@ -95,6 +97,11 @@
             return;
         }
         this.runs.push(id);
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                this.droppedMs.set(id, performance.now());
+            }
+        });
         await pause(this.workMs);
         const status = Math.random() < this.failureShare ? 500 : 200;
         response.writeHead(status, { "Request-Id": id, "Response-Seal": `seal-${id}-${status}` });
--- a/review/lib-3/configuration.mjs
+++ b/review/lib-3/configuration.mjs
@@ -1,5 +1,7 @@
-/** A configuration with one route for each service, at the path of the service's name. */
-export const configuration = (version, services, { routeType = "idempotent", timeout = "2000ms" } = {}) =>
+const toRoute = (route) => (typeof route === "string" ? { path: `/${route}/`, service: route } : route);
+
+/** A configuration. `routes` holds the names of services, each with a route at its name, or routes with path and service. */
+export const configuration = (version, routes, { routeType = "idempotent", timeout = "2000ms" } = {}) =>
     JSON.stringify({
         ConfigVersion: version,
         Routes: {
@@ -15,10 +17,10 @@
                 "Attempts",
                 "TrafficSplit",
             ],
-            Rows: services.map((service) => [
-                `r-${service}`,
+            Rows: routes.map(toRoute).map(({ path, service }) => [
+                `r-${path}`,
                 "mesh.example",
-                `/${service}/`,
+                path,
                 routeType,
                 timeout,
                 "500ms",
@@ -30,7 +32,9 @@
         },
         Services: {
             Columns: ["Name", "HealthCheckPath", "MaxConnections", "Protocol", "Tls"],
-            Rows: services.map((service) => [service, "/healthz", 120, "h1", false]),
+            Rows: [...new Set(routes.map((route) => toRoute(route).service))].map((
+                service,
+            ) => [service, "/healthz", 120, "h1", false]),
         },
         Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 67_108_864, HeaderTimeout: "3000ms", IdleTimeout: "15000ms" },
     });
