A heartbeat without its start takes a sound instance out of use for good

Cause: a heartbeat that lacks the time of the start counts for any start of its instance, and draining is final.

Change: review/15 shows it with the programs of the deploy file: one such heartbeat of another writer for each instance of a service, and no request of the service is served any more, also after all processes were killed.

--- a/review/lib-3/StandInServer.mjs
+++ b/review/lib-3/StandInServer.mjs
@@ -47,7 +47,16 @@
     /** Sends a heartbeat. Resolves to whether it was acknowledged. */
     beat() {
         this.#sequence += 1;
-        return this.#post("Heartbeat", {
+        return this.#post("Heartbeat", this.#message());
+    }
+
+    /** Sends a heartbeat as another writer might, who knows this instance's id but not the field `born`. */
+    beatOfAnotherWriter() {
+        return this.#post("Heartbeat", { ...this.#message(), State: "draining", born: undefined });
+    }
+
+    #message() {
+        return {
             ServiceName: this.service,
             Address: `${this.host}:${this.port}`,
             Zone: this.zone,
@@ -57,7 +66,7 @@
             ColdRemaining: "0ms",
             Sequence: this.#sequence,
             born: this.#bornMs,
-        });
+        };
     }
 
     #post(call, message) {
